--- a/core/crypto.cpp
+++ b/core/crypto.cpp
@@ -6,26 +6,16 @@
 #include <openssl/evp.h>
 #include <openssl/hmac.h>
 
-namespace snipefall {
-
-namespace {
-
-constexpr std::string_view HEX_DIGITS = "0123456789abcdef";
+#include "core/hex.h"
 
-}
+namespace snipefall {
 
 std::string sha256Hex(std::string_view data)
 {
     std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned size = 0;
     EVP_Digest(data.data(), data.size(), digest.data(), &size, EVP_sha256(), nullptr);
-    std::string text;
-    text.reserve(std::size_t{size} * 2);
-    for (unsigned i = 0; i < size; ++i) {
-        text += HEX_DIGITS[digest[i] >> 4];
-        text += HEX_DIGITS[digest[i] & 0xF];
-    }
-    return text;
+    return toHex(std::string_view(reinterpret_cast<const char *>(digest.data()), size));
 }
 
 std::string hmacSha256(std::string_view key, std::string_view data)
--- a/http/fan_out_engine.cpp
+++ b/http/fan_out_engine.cpp
@@ -236,7 +236,7 @@
         taken->connectTimeout = request.connectTimeout;
         taken->progressTimeout = request.progressTimeout;
         cxxtools::http::Request message(request.target);
-        message.method("POST");
+        message.method(request.method);
         message.setHeader("Content-Type", "application/json");
         if (!request.requestId.empty()) {
             message.setHeader("Request-Id", request.requestId.c_str());
--- a/http/sub_request.h
+++ b/http/sub_request.h
@@ -12,7 +12,8 @@
 struct sub_request
 {
     std::string address; ///< "ip:port"
-    std::string target; ///< Path of the POST.
+    std::string method = "POST";
+    std::string target;
     std::string body; ///< JSON.
     std::string requestId; ///< Sent as header Request-Id when not empty.
     std::chrono::steady_clock::time_point deadline; ///< The request is given up at this time.
--- /dev/null
+++ b/node/topology_controller.cpp
@@ -0,0 +1,179 @@
+#include "node/topology_controller.h"
+
+#include <chrono>
+
+#include "core/json.h"
+#include "core/logger.h"
+#include "http/fan_out_engine.h"
+#include "node/status_parser.h"
+
+namespace snipefall {
+
+namespace {
+
+constexpr std::chrono::milliseconds STATUS_TIMEOUT{1000};
+
+}
+
+topology_controller::topology_controller(topology_board &board, fan_out_engine &engine, list_function listVms)
+    : m_board(board)
+    , m_engine(engine)
+    , m_listVms(std::move(listVms))
+{
+}
+
+void topology_controller::step()
+{
+    const outcome<std::vector<vm_entry>> vms = m_listVms();
+    if (vms) {
+        applyList(*vms);
+        m_ready = true;
+    } else {
+        logWarning("topology.list_failed", {{"reason", vms.reason().message}});
+    }
+    std::vector<backend_server> servers;
+    {
+        const std::lock_guard lock(m_mutex);
+        for (const auto &[id, server] : m_servers) {
+            servers.push_back(server);
+        }
+    }
+    for (const backend_server &server : servers) {
+        readStatus(server);
+    }
+}
+
+void topology_controller::refresh(const backend_server_id &id)
+{
+    std::optional<backend_server> server;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_servers.find(id);
+        if (found == m_servers.end()) {
+            return;
+        }
+        server = found->second;
+    }
+    readStatus(*server);
+}
+
+void topology_controller::markLeaving(const backend_server_id &id)
+{
+    service_id service;
+    {
+        const std::lock_guard lock(m_mutex);
+        const auto found = m_servers.find(id);
+        if (found == m_servers.end() || found->second.leaving) {
+            return;
+        }
+        found->second.leaving = true;
+        service = found->second.service;
+    }
+    publish({service});
+}
+
+void topology_controller::applyList(const std::vector<vm_entry> &vms)
+{
+    std::set<service_id> changed;
+    {
+        const std::lock_guard lock(m_mutex);
+        std::set<backend_server_id> listed;
+        for (const vm_entry &vm : vms) {
+            if (vm.service.empty()) {
+                continue;
+            }
+            const backend_server_id id(vm.id);
+            listed.insert(id);
+            backend_server &server = m_servers[id];
+            // The list lags, so it never takes back that a server is leaving.
+            const bool leaving = server.leaving || vm.state == "leaving";
+            if (server.address == vm.address && server.leaving == leaving && server.service == vm.service) {
+                continue;
+            }
+            server.id = id;
+            server.address = vm.address;
+            server.service = vm.service;
+            server.domain = vm.domain;
+            server.version = vm.version;
+            server.leaving = leaving;
+            changed.insert(vm.service);
+        }
+        for (auto entry = m_servers.begin(); entry != m_servers.end();) {
+            if (listed.count(entry->first) > 0) {
+                ++entry;
+                continue;
+            }
+            changed.insert(entry->second.service);
+            entry = m_servers.erase(entry);
+        }
+    }
+    publish(changed);
+}
+
+void topology_controller::readStatus(const backend_server &server)
+{
+    {
+        const std::lock_guard lock(m_mutex);
+        if (!m_readsInFlight.insert(server.id).second) {
+            return;
+        }
+    }
+    sub_request request;
+    request.method = "GET";
+    request.address = server.address;
+    request.target = "/status";
+    request.deadline = std::chrono::steady_clock::now() + STATUS_TIMEOUT;
+    request.progressTimeout = STATUS_TIMEOUT;
+    m_engine.submit(std::move(request), [this, id = server.id](const sub_response &response) { applyStatus(id, response); });
+}
+
+void topology_controller::applyStatus(const backend_server_id &id, const sub_response &response)
+{
+    std::optional<backend_server> updated;
+    std::uint64_t oldStartedMs = 0;
+    bool startsLeaving = false;
+    {
+        const std::lock_guard lock(m_mutex);
+        m_readsInFlight.erase(id);
+        const auto found = m_servers.find(id);
+        if (found == m_servers.end() || response.status != transport_status::ok || response.httpStatus != 200) {
+            return;
+        }
+        const outcome<json> document = parseJson(response.body);
+        const outcome<backend_server> parsed = document ? parseStatus(*document, found->second) : outcome<backend_server>(document.reason());
+        if (!parsed) {
+            logWarning("topology.bad_status", {{"server", id.str()}, {"reason", parsed.reason().message}});
+            return;
+        }
+        oldStartedMs = found->second.startedMs;
+        if (*parsed == found->second) {
+            return;
+        }
+        startsLeaving = parsed->leaving && !found->second.leaving;
+        found->second = *parsed;
+        updated = *parsed;
+    }
+    publish({updated->service});
+    if (m_onRestart && oldStartedMs != 0 && oldStartedMs != updated->startedMs) {
+        m_onRestart(*updated, oldStartedMs);
+    }
+    if (m_onLeaving && startsLeaving) {
+        m_onLeaving(*updated);
+    }
+}
+
+void topology_controller::publish(const std::set<service_id> &services)
+{
+    const std::lock_guard lock(m_mutex);
+    for (const service_id &service : services) {
+        auto topology = std::make_shared<service_topology>();
+        for (const auto &[id, server] : m_servers) {
+            if (server.service == service) {
+                topology->servers.push_back(server);
+            }
+        }
+        m_board.set(service, std::move(topology));
+    }
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/node/topology_controller.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "blackboard/topology_board.h"
+#include "core/backend_server.h"
+#include "core/outcome.h"
+#include "http/sub_request.h"
+#include "platform/vm_entry.h"
+
+namespace snipefall {
+
+class fan_out_engine;
+
+/**
+ * Keeps the topology board current: joins the platform's list of VMs, which lags, with each backend server's own status.
+ *
+ * A server that stops answering its status reads stays on the board: whether it is used is decided by the query path's own results, since
+ * status endpoints lag or mislead.
+ */
+class topology_controller
+{
+public:
+    /** Tells that a server's process started anew; the old start time is never 0. */
+    using restart_callback = std::function<void(const backend_server &server, std::uint64_t oldStartedMs)>;
+    /** Tells that a server says it is leaving. */
+    using leaving_callback = std::function<void(const backend_server &server)>;
+    using list_function = std::function<outcome<std::vector<vm_entry>>()>;
+
+    topology_controller(topology_board &board, fan_out_engine &engine, list_function listVms);
+
+    void onRestart(restart_callback callback) { m_onRestart = std::move(callback); }
+    void onLeaving(leaving_callback callback) { m_onLeaving = std::move(callback); }
+
+    /** Reads the VM list and starts status reads; returns without waiting for them. */
+    void step();
+
+    /** Reads one server's status at once, for example after a connection closed without a response. */
+    void refresh(const backend_server_id &id);
+
+    /** Marks a server as leaving when a peer or a response says so before its status or the list does. */
+    void markLeaving(const backend_server_id &id);
+
+    /** Whether the VM list was read at least once. */
+    bool ready() const { return m_ready; }
+
+private:
+    void applyList(const std::vector<vm_entry> &vms);
+    void readStatus(const backend_server &server);
+    void applyStatus(const backend_server_id &id, const sub_response &response);
+    void publish(const std::set<service_id> &services);
+
+    topology_board &m_board;
+    fan_out_engine &m_engine;
+    list_function m_listVms;
+    restart_callback m_onRestart;
+    leaving_callback m_onLeaving;
+    std::atomic<bool> m_ready{false};
+    std::mutex m_mutex;
+    std::map<backend_server_id, backend_server> m_servers;
+    std::set<backend_server_id> m_readsInFlight;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/account_key.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <compare>
+
+#include "core/ids.h"
+#include "policy/answer_outcome.h"
+
+namespace snipefall {
+
+/** What the totals of an account are kept by. */
+struct account_key
+{
+    service_id service;
+    version_id version;
+    snapshot_id snapshot;
+    answer_outcome outcome = answer_outcome::failed;
+
+    auto operator<=>(const account_key &) const = default;
+};
+
+} // namespace snipefall
