Add stand-ins for the platform and for backend servers

Nodes and their tests need an object API and backend servers that show the faults of the design on demand. Both run as programs and inside a test process; PUT /control switches the faults and GET /control reports what was seen: calls by kind, runs by request id, the most requests at a time.

The HTTP server had no way to lose an answer or to tell connections apart, so a response can now close its connection without being sent and a request carries its peer's port. Delayed answers alone were weighed; they hold a thread and don't show the closed connection that a client has to survive.

--- a/http/http_request.h
+++ b/http/http_request.h
@@ -16,6 +16,7 @@
     std::vector<http_header> headers;
     std::string body;
     std::string peerAddress; ///< IP address of the sender.
+    unsigned short peerPort = 0; ///< With peerAddress, the identity of the connection.
 
     /** The value of a header, compared without case, or an empty string. */
     std::string header(const std::string &name) const;
--- a/http/http_response.h
+++ b/http/http_response.h
@@ -15,6 +15,7 @@
     std::string contentType = "application/json";
     std::vector<http_header> headers;
     bool closeConnection = false; ///< Closes the connection after the response.
+    bool closeWithoutResponse = false; ///< Closes the connection and sends nothing; the stand-ins lose answers this way.
 };
 
 } // namespace snipefall
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -4,6 +4,9 @@
 #include <atomic>
 #include <thread>
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
 #include <cxxtools/eventloop.h>
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/request.h>
@@ -89,9 +92,15 @@
 
     void beginRequest(cxxtools::net::TcpSocket &socket, std::istream &, cxxtools::http::Request &) override
     {
+        m_socket = socket.getFd();
         m_request.peerAddress = socket.getPeerAddr();
         const std::size_t port = m_request.peerAddress.rfind(':');
         m_request.peerAddress.resize(port == std::string::npos ? m_request.peerAddress.size() : port);
+        sockaddr_in peer{};
+        socklen_t size = sizeof peer;
+        if (::getpeername(m_socket, reinterpret_cast<sockaddr *>(&peer), &size) == 0 && peer.sin_family == AF_INET) {
+            m_request.peerPort = ntohs(peer.sin_port);
+        }
     }
 
     std::size_t readBody(std::istream &in) override
@@ -116,12 +125,15 @@
     {
         m_service.addRunning();
         const http_response response = respond(request);
+        if (response.closeWithoutResponse) {
+            ::shutdown(m_socket, SHUT_RDWR);
+        }
         reply.httpReturn(static_cast<unsigned>(response.status), reasonPhrase(response.status));
         reply.setHeader("Content-Type", response.contentType.c_str());
         for (const http_header &field : response.headers) {
             reply.setHeader(field.name.c_str(), field.value.c_str());
         }
-        if (response.closeConnection) {
+        if (response.closeConnection || response.closeWithoutResponse) {
             reply.setHeader("Connection", "close");
         }
         out << response.body;
@@ -154,6 +166,7 @@
     handler_service &m_service;
     http_request m_request;
     std::size_t m_bodyBytes = 0;
+    int m_socket = -1;
 };
 
 cxxtools::http::Responder *handler_service::createResponder(const cxxtools::http::Request &)
--- /dev/null
+++ b/tests/stand_ins/json_responses.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+#include "core/json.h"
+#include "http/http_response.h"
+
+namespace snipefall {
+
+/** A response with a JSON body. */
+http_response jsonResponse(const json &body, int status = 200);
+
+/** A refusal; @p ran is "not_run", "ran" or "unknown". */
+http_response errorResponse(int status, const std::string &code, const std::string &message, const std::string &ran = "not_run");
+
+} // namespace snipefall
--- /dev/null
+++ b/tests/stand_ins/slot_gate.cpp
@@ -0,0 +1,91 @@
+#include "tests/stand_ins/slot_gate.h"
+
+#include <algorithm>
+
+namespace snipefall {
+
+slot_gate::slot_gate(unsigned slots, unsigned queue)
+    : m_slots(std::max(1U, slots))
+    , m_queue(queue)
+{
+}
+
+slot_gate::entry slot_gate::enter(time_point deadline)
+{
+    std::unique_lock lock(m_mutex);
+    const unsigned capacity = capacityLocked(system_clock().now());
+    const unsigned present = m_running + m_waiting + 1;
+    m_maxPresent = std::max(m_maxPresent, present);
+    if (present > capacity + m_queue) {
+        return entry::shed;
+    }
+    const bool isCold = capacity < m_slots && present > capacity;
+    ++m_waiting;
+    const bool free = m_freed.wait_until(lock, deadline, [this] { return m_stopped || m_running < m_slots; });
+    --m_waiting;
+    if (m_stopped) {
+        return entry::stopped;
+    }
+    if (!free) {
+        return entry::expired;
+    }
+    ++m_running;
+    m_maxRunning = std::max(m_maxRunning, m_running);
+    return isCold ? entry::entered_cold : entry::entered;
+}
+
+void slot_gate::leave()
+{
+    const std::lock_guard lock(m_mutex);
+    --m_running;
+    m_freed.notify_one();
+}
+
+void slot_gate::turnCold(time_point now, duration ramp)
+{
+    const std::lock_guard lock(m_mutex);
+    m_coldSince = now;
+    m_ramp = ramp;
+}
+
+void slot_gate::stop()
+{
+    const std::lock_guard lock(m_mutex);
+    m_stopped = true;
+    m_freed.notify_all();
+}
+
+unsigned slot_gate::running() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_running;
+}
+
+unsigned slot_gate::capacity(time_point now) const
+{
+    const std::lock_guard lock(m_mutex);
+    return capacityLocked(now);
+}
+
+unsigned slot_gate::maxRunning() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_maxRunning;
+}
+
+unsigned slot_gate::maxPresent() const
+{
+    const std::lock_guard lock(m_mutex);
+    return m_maxPresent;
+}
+
+unsigned slot_gate::capacityLocked(time_point now) const
+{
+    if (m_ramp.count() <= 0 || now - m_coldSince >= m_ramp) {
+        return m_slots;
+    }
+    const double share = static_cast<double>((now - m_coldSince).count()) / static_cast<double>(m_ramp.count());
+    return std::max(1U, static_cast<unsigned>(share * m_slots));
+}
+
+} // namespace snipefall
