--- /dev/null
+++ b/node/query_result.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "policy/query_outcome.h"
+
+namespace snipefall {
+
+/** The end of one query_runner. */
+struct query_result
+{
+    std::optional<query_outcome> outcome; ///< Empty when the query must start again on a newer snapshot.
+    std::uint64_t firstSubRequests = 0;
+    std::uint64_t extraSubRequests = 0;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/node/query_runner.cpp
@@ -0,0 +1,249 @@
+#include "node/query_runner.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "core/json.h"
+#include "http/fan_out_engine.h"
+#include "node/service_runtime.h"
+#include "node/sub_request_dispatcher.h"
+#include "policy/latency_key.h"
+
+namespace snipefall {
+
+namespace {
+
+// A backend server that sends nothing for this long on one connection is taken to be unreachable through it.
+constexpr std::chrono::milliseconds PROGRESS_TIMEOUT{1000};
+
+shard_failure failureOf(const sub_response &response)
+{
+    switch (response.status) {
+    case transport_status::connect_failed:
+        return shard_failure::connect_failed;
+    case transport_status::closed:
+    case transport_status::cancelled:
+        return shard_failure::closed;
+    case transport_status::no_progress:
+        return shard_failure::no_progress;
+    case transport_status::deadline_exceeded:
+        return shard_failure::deadline;
+    case transport_status::ok:
+        break;
+    }
+    switch (response.httpStatus) {
+    case 409:
+        return shard_failure::snapshot_not_held;
+    case 429:
+        return shard_failure::shed;
+    case 503:
+        return shard_failure::draining;
+    case 504:
+        return shard_failure::deadline;
+    default:
+        return shard_failure::invalid_answer;
+    }
+}
+
+std::uint64_t millisecondsUntil(time_point when)
+{
+    const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(when - system_clock().now()).count();
+    return static_cast<std::uint64_t>(std::max<std::int64_t>(1, left));
+}
+
+} // namespace
+
+query_runner::query_runner(query_task task, service_runtime &runtime, sub_request_dispatcher &dispatcher, fan_out_engine &engine)
+    : m_task(std::move(task))
+    , m_runtime(runtime)
+    , m_dispatcher(dispatcher)
+    , m_engine(engine)
+    , m_execution(m_task.planned.plan, m_task.options, runtime.budget)
+{
+}
+
+query_result query_runner::run()
+{
+    {
+        std::unique_lock lock(m_runtime.mutex);
+        query_actions actions;
+        m_execution.start(system_clock().now(), actions);
+        apply(actions, lock);
+    }
+    std::unique_lock lock(m_resultMutex);
+    m_ended.wait(lock, [this] { return m_result.has_value(); });
+    return std::move(*m_result);
+}
+
+std::string query_runner::subRequestName(sub_request_id sub) const
+{
+    return fmt::format("{}-{}", m_task.nodeTag, sub.value());
+}
+
+sub_request query_runner::makeRequest(sub_request_id sub)
+{
+    const sub_target target = targetOf(sub);
+    sub_request request;
+    request.address = m_task.planned.addresses[target.server.value()];
+    request.target = "/shards/query";
+    request.requestId = m_task.request.str();
+    request.deadline = target.deadline;
+    request.progressTimeout = PROGRESS_TIMEOUT;
+    request.body = fmt::format(R"({{"service":{},"snapshot":{},"shard":{},"sub_id":"{}","query":{},"deadline_ms":{}}})",
+                               json(m_task.service.str()).dump(),
+                               json(m_task.planned.plan->snapshot.str()).dump(),
+                               target.shard.value(),
+                               subRequestName(sub),
+                               m_task.query,
+                               millisecondsUntil(target.deadline));
+    return request;
+}
+
+sub_request query_runner::makeCancel(sub_request_id sub)
+{
+    sub_request request;
+    request.address = m_task.planned.addresses[targetOf(sub).server.value()];
+    request.target = "/cancel";
+    request.requestId = m_task.request.str();
+    request.deadline = system_clock().now() + PROGRESS_TIMEOUT;
+    request.body = fmt::format(R"({{"sub_id":"{}"}})", subRequestName(sub));
+    return request;
+}
+
+query_runner::sub_target query_runner::targetOf(sub_request_id sub) const
+{
+    const std::lock_guard lock(m_runtime.mutex);
+    return m_targets.at(sub);
+}
+
+bool query_runner::onSlotFree(const backend_server_id &server)
+{
+    const auto &servers = m_task.planned.plan->servers;
+    const auto index = static_cast<std::uint32_t>(std::find(servers.begin(), servers.end(), server) - servers.begin());
+    std::unique_lock lock(m_runtime.mutex);
+    query_actions actions;
+    m_execution.permitAvailable(server_index(index), system_clock().now(), actions);
+    return apply(actions, lock);
+}
+
+void query_runner::onCompleted(sub_request_id sub, const sub_response &response)
+{
+    const time_point now = system_clock().now();
+    std::optional<sub_answer> answer;
+    if (response.status == transport_status::ok && response.httpStatus == 200) {
+        json document = json::parse(response.body, nullptr, false);
+        if (document.is_object() && jsonValue<std::string>(document, "sub_id", "") == subRequestName(sub)) {
+            answer = sub_answer{sub,
+                                shard_index(jsonValue<std::uint32_t>(document, "shard", UINT32_MAX)),
+                                snapshot_id(jsonValue<std::string>(document, "snapshot", "")),
+                                jsonValue<std::uint64_t>(document, "items_seen", 0),
+                                document.value("results", json::array()).dump()};
+        }
+    }
+    std::unique_lock lock(m_runtime.mutex);
+    query_actions actions;
+    if (answer) {
+        if (const std::optional<duration> latency = m_execution.subAnswer(std::move(*answer), now, actions)) {
+            recordLatency(*latency, now);
+        }
+    } else {
+        m_execution.subFailure(sub, failureOf(response), now, actions);
+    }
+    apply(actions, lock);
+}
+
+void query_runner::onTick()
+{
+    std::unique_lock lock(m_runtime.mutex);
+    m_scheduledTick = time_point::max();
+    query_actions actions;
+    m_execution.tick(system_clock().now(), actions);
+    apply(actions, lock);
+}
+
+void query_runner::recordLatency(duration latency, time_point now)
+{
+    m_runtime.latencies.record(latency_key{m_task.service, m_task.version}, latency, now);
+}
+
+bool query_runner::apply(query_actions &actions, std::unique_lock<std::mutex> &lock)
+{
+    const time_point now = system_clock().now();
+    if (actions.restartOnNewerSnapshot && !m_task.newerSnapshotExists(m_task.planned.plan->snapshot)) {
+        actions.restartOnNewerSnapshot = false;
+    }
+    if (actions.restartOnNewerSnapshot) {
+        actions.finish.reset();
+        m_execution.abandon(now, actions);
+    }
+    for (const cancel_action &cancel : actions.cancels) {
+        recordLatency(cancel.age, now);
+    }
+    for (const send_action &send : actions.sends) {
+        m_targets.emplace(send.sub, sub_target{send.shard, send.server, send.deadline});
+        ++(send.extra ? m_extraSends : m_firstSends);
+    }
+    const bool ended = m_execution.ended();
+    const query_result counts{std::nullopt, m_firstSends, m_extraSends};
+    const time_point nextTick = m_execution.nextTick();
+    const bool schedule = !ended && nextTick < m_scheduledTick;
+    if (schedule) {
+        m_scheduledTick = nextTick;
+    }
+    lock.unlock();
+
+    for (const cancel_action &cancel : actions.cancels) {
+        m_dispatcher.cancel(m_task.planned.plan->servers[cancel.server.value()], cancel.sub);
+    }
+    if (actions.finish || actions.restartOnNewerSnapshot) {
+        query_result result = counts;
+        result.outcome = std::move(actions.finish);
+        finish(std::move(result));
+    }
+    if (ended) {
+        return false;
+    }
+    if (schedule) {
+        scheduleTick(nextTick);
+    }
+    return startSends(std::move(actions.sends));
+}
+
+bool query_runner::startSends(std::vector<send_action> sends)
+{
+    bool started = false;
+    for (const send_action &send : sends) {
+        const backend_server_id &server = m_task.planned.plan->servers[send.server.value()];
+        if (m_dispatcher.tryStart(server, send.sub, send.deadline, shared_from_this())) {
+            started = true;
+            continue;
+        }
+        std::unique_lock lock(m_runtime.mutex);
+        --(send.extra ? m_extraSends : m_firstSends);
+        query_actions actions;
+        m_execution.permitDenied(send.sub, system_clock().now(), actions);
+        started = apply(actions, lock) || started;
+    }
+    return started;
+}
+
+void query_runner::finish(query_result result)
+{
+    const std::lock_guard lock(m_resultMutex);
+    if (!m_result) {
+        m_result = std::move(result);
+        m_ended.notify_all();
+    }
+}
+
+void query_runner::scheduleTick(time_point when)
+{
+    m_engine.schedule(when, m_task.options.number.value(), [self = std::weak_ptr<query_runner>(shared_from_this())] {
+        if (const auto runner = self.lock()) {
+            runner->onTick();
+        }
+    });
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/node/query_runner.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <unordered_map>
+
+#include "node/query_result.h"
+#include "node/sub_request_owner.h"
+#include "policy/planned_query.h"
+#include "policy/query_actions.h"
+#include "policy/query_execution.h"
+
+namespace snipefall {
+
+class fan_out_engine;
+class sub_request_dispatcher;
+struct service_runtime;
+
+/** What a query_runner needs to know of its query. */
+struct query_task
+{
+    service_id service;
+    version_id version;
+    request_id request;
+    std::string nodeTag; ///< Prefix that makes sub-request ids unique among all nodes.
+    std::string query; ///< JSON text that is passed on to the backend servers.
+    planned_query planned;
+    query_options options;
+    std::function<bool(const snapshot_id &)> newerSnapshotExists; ///< Whether a query can start again on a newer snapshot.
+};
+
+/** Runs one query_execution: carries its actions out and feeds the events of the network back into it. */
+class query_runner : public sub_request_owner, public std::enable_shared_from_this<query_runner>
+{
+public:
+    query_runner(query_task task, service_runtime &runtime, sub_request_dispatcher &dispatcher, fan_out_engine &engine);
+
+    /** Starts the query and waits for its end. */
+    query_result run();
+
+    sub_request makeRequest(sub_request_id sub) override;
+    sub_request makeCancel(sub_request_id sub) override;
+    bool onSlotFree(const backend_server_id &server) override;
+    void onCompleted(sub_request_id sub, const sub_response &response) override;
+
+private:
+    struct sub_target
+    {
+        shard_index shard;
+        server_index server;
+        time_point deadline;
+    };
+
+    void onTick();
+    /** Carries the actions of one event out. Called with the runtime's mutex held through @p lock, which it releases. Returns whether a sub-request started. */
+    bool apply(query_actions &actions, std::unique_lock<std::mutex> &lock);
+    /** Starts the sends; a send without a free slot may lead to another one. */
+    bool startSends(std::vector<send_action> sends);
+    sub_target targetOf(sub_request_id sub) const;
+    void finish(query_result result);
+    void scheduleTick(time_point when);
+    std::string subRequestName(sub_request_id sub) const;
+    void recordLatency(duration latency, time_point now);
+
+    const query_task m_task;
+    service_runtime &m_runtime;
+    sub_request_dispatcher &m_dispatcher;
+    fan_out_engine &m_engine;
+    query_execution m_execution; ///< Guarded by the runtime's mutex.
+    std::unordered_map<sub_request_id, sub_target> m_targets; ///< Guarded by the runtime's mutex.
+    time_point m_scheduledTick = time_point::max(); ///< Guarded by the runtime's mutex.
+    std::mutex m_resultMutex;
+    std::condition_variable m_ended;
+    std::optional<query_result> m_result; ///< Guarded by m_resultMutex.
+    std::uint64_t m_firstSends = 0; ///< Guarded by the runtime's mutex.
+    std::uint64_t m_extraSends = 0; ///< Guarded by the runtime's mutex.
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/node/sub_request_owner.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include "core/ids.h"
+#include "http/sub_request.h"
+
+namespace snipefall {
+
+/** Who a dispatched sub-request belongs to. */
+class sub_request_owner
+{
+public:
+    virtual ~sub_request_owner() = default;
+
+    /** Builds the request when it is about to be sent. */
+    virtual sub_request makeRequest(sub_request_id sub) = 0;
+    /** Builds the request that asks the server to stop working on a sub-request. */
+    virtual sub_request makeCancel(sub_request_id sub) = 0;
+    /** A slot of a server for which the owner waits is free. Returns whether the owner started a request there. */
+    virtual bool onSlotFree(const backend_server_id &server) = 0;
+    virtual void onCompleted(sub_request_id sub, const sub_response &response) = 0;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/snapshot_planner.cpp
@@ -0,0 +1,108 @@
+#include "policy/snapshot_planner.h"
+
+#include <algorithm>
+#include <map>
+
+namespace snipefall {
+
+namespace {
+
+struct snapshot_view
+{
+    const std::vector<std::uint64_t> *itemsPerShard = nullptr;
+    std::vector<std::vector<server_index>> holders; ///< By shard.
+};
+
+bool usable(const backend_server &server, const planning_limits &limits)
+{
+    const bool out = limits.domainsOut != nullptr && limits.domainsOut->count(server.domain) > 0;
+    const bool excluded = limits.excluded != nullptr && limits.excluded->count(server.id) > 0;
+    return !server.leaving && !out && !excluded && server.version == limits.version;
+}
+
+void addHolder(snapshot_view &view, const snapshot_shards &shards, server_index server)
+{
+    if (view.itemsPerShard == nullptr) {
+        view.itemsPerShard = &shards.itemsPerShard;
+        view.holders.resize(shards.itemsPerShard.size());
+    }
+    // A server with another shard map under the same snapshot id is not trusted: its counts would make the coverage untrue.
+    if (shards.itemsPerShard != *view.itemsPerShard) {
+        return;
+    }
+    for (const shard_index shard : shards.held) {
+        view.holders[shard.value()].push_back(server);
+    }
+}
+
+std::uint64_t itemsHeld(const snapshot_view &view)
+{
+    std::uint64_t items = 0;
+    for (std::size_t shard = 0; shard < view.holders.size(); ++shard) {
+        items += view.holders[shard].empty() ? 0 : (*view.itemsPerShard)[shard];
+    }
+    return items;
+}
+
+bool holdsAllShards(const snapshot_view &view)
+{
+    return std::none_of(view.holders.begin(), view.holders.end(), [](const auto &holders) { return holders.empty(); });
+}
+
+const std::pair<const snapshot_id, snapshot_view> *chooseSnapshot(const std::map<snapshot_id, snapshot_view> &views)
+{
+    const std::pair<const snapshot_id, snapshot_view> *best = nullptr;
+    double bestShare = -1.0;
+    for (auto entry = views.rbegin(); entry != views.rend(); ++entry) {
+        if (holdsAllShards(entry->second)) {
+            return &*entry;
+        }
+        std::uint64_t total = 0;
+        for (const std::uint64_t items : *entry->second.itemsPerShard) {
+            total += items;
+        }
+        const double share = total == 0 ? 0.0 : static_cast<double>(itemsHeld(entry->second)) / static_cast<double>(total);
+        if (share > bestShare) {
+            bestShare = share;
+            best = &*entry;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
+planned_query planQuery(const std::vector<backend_server> &servers, const planning_limits &limits)
+{
+    planned_query planned;
+    auto plan = std::make_shared<query_plan>();
+    std::map<snapshot_id, snapshot_view> views;
+    for (const backend_server &server : servers) {
+        if (!usable(server, limits)) {
+            continue;
+        }
+        const server_index index(static_cast<std::uint32_t>(plan->servers.size()));
+        plan->servers.push_back(server.id);
+        planned.addresses.push_back(server.address);
+        for (const auto &[id, shards] : server.snapshots) {
+            if (limits.newerThan.empty() || id > limits.newerThan) {
+                addHolder(views[id], shards, index);
+            }
+        }
+    }
+    if (const auto *chosen = chooseSnapshot(views)) {
+        plan->snapshot = chosen->first;
+        for (std::size_t shard = 0; shard < chosen->second.holders.size(); ++shard) {
+            shard_plan entry{(*chosen->second.itemsPerShard)[shard], chosen->second.holders[shard]};
+            if (!entry.candidates.empty()) {
+                const auto first = static_cast<std::ptrdiff_t>((limits.rotation + shard) % entry.candidates.size());
+                std::rotate(entry.candidates.begin(), entry.candidates.begin() + first, entry.candidates.end());
+            }
+            plan->shards.push_back(std::move(entry));
+        }
+    }
+    planned.plan = std::move(plan);
+    return planned;
+}
+
+} // namespace snipefall
