--- /dev/null
+++ b/cli/commands.cpp
@@ -0,0 +1,14 @@
+#include "cli/commands.h"
+
+namespace snipefall {
+
+std::vector<command> allCommands()
+{
+    std::vector<command> commands;
+    for (const auto &group : {statusCommands(), configCommands(), callerCommands()}) {
+        commands.insert(commands.end(), group.begin(), group.end());
+    }
+    return commands;
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/node/account_keeper.cpp
@@ -0,0 +1,123 @@
+#include "node/account_keeper.h"
+
+#include "core/clock.h"
+#include "core/crypto.h"
+#include "core/logger.h"
+
+namespace snipefall {
+
+namespace {
+
+constexpr int MAX_SAVE_ATTEMPTS = 3;
+
+}
+
+account_keeper::account_keeper(node_id node, incarnation nodeIncarnation, read_function read, write_function write)
+    : m_node(node)
+    , m_read(std::move(read))
+    , m_write(std::move(write))
+{
+    for (part &entry : m_parts) {
+        entry.account = node_account(node, nodeIncarnation, wallClockMs());
+        entry.older = json::array();
+    }
+}
+
+account_keeper::part &account_keeper::partOf(const service_id &service)
+{
+    return m_parts[stableHash(service.str()) % PARTS];
+}
+
+std::string account_keeper::keyOf(std::size_t index) const
+{
+    return "accounts/" + m_node.str() + "/" + std::to_string(index);
+}
+
+void account_keeper::add(const answer_record &record)
+{
+    part &home = partOf(record.service);
+    const std::lock_guard lock(home.mutex);
+    home.account.add(record);
+    home.changed = true;
+}
+
+void account_keeper::closeService(const service_id &service)
+{
+    part &home = partOf(service);
+    const std::lock_guard lock(home.mutex);
+    home.account.closeService(service);
+    home.changed = true;
+}
+
+std::string account_keeper::save()
+{
+    std::string problem;
+    for (std::size_t index = 0; index < PARTS; ++index) {
+        const std::string result = savePart(index);
+        problem = result.empty() ? problem : result;
+    }
+    return problem;
+}
+
+std::string account_keeper::close()
+{
+    for (part &entry : m_parts) {
+        const std::lock_guard lock(entry.mutex);
+        entry.account.close();
+        entry.changed = true;
+    }
+    return save();
+}
+
+std::string account_keeper::savePart(std::size_t index)
+{
+    part &entry = m_parts[index];
+    const std::lock_guard saving(entry.saving);
+    node_account account;
+    {
+        const std::lock_guard lock(entry.mutex);
+        if (!entry.changed) {
+            return {};
+        }
+        entry.account.seal(wallClockMs());
+        entry.changed = false;
+        account = entry.account;
+    }
+    std::string problem;
+    for (int attempt = 0; attempt < MAX_SAVE_ATTEMPTS; ++attempt) {
+        json accounts = entry.older;
+        accounts.push_back(account.toJson());
+        const outcome<object_version> written = m_write(keyOf(index), accounts.dump(), entry.stored);
+        if (written) {
+            entry.stored = *written;
+            return {};
+        }
+        problem = written.reason().message;
+        if (written.reason().code != error_code::conflict && written.reason().code != error_code::unknown_result) {
+            break;
+        }
+        // The object was written by an earlier incarnation, or by a write of this one whose response was lost.
+        const outcome<object> current = m_read(keyOf(index));
+        if (!current) {
+            problem = current.reason().message;
+            break;
+        }
+        entry.stored = current->version;
+        entry.older = json::array();
+        const outcome<json> document = parseJson(current->value);
+        if (!document || !document->is_array()) {
+            problem = "the object " + keyOf(index) + " is malformed";
+            break;
+        }
+        for (const json &other : *document) {
+            if (jsonValue<std::uint64_t>(other, "incarnation", 0) != account.nodeIncarnation().value()) {
+                entry.older.push_back(other);
+            }
+        }
+    }
+    const std::lock_guard lock(entry.mutex);
+    entry.changed = true;
+    return problem;
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/node/account_keeper.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include <array>
+#include <functional>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "core/outcome.h"
+#include "platform/object.h"
+#include "policy/node_account.h"
+
+namespace snipefall {
+
+/**
+ * Counts this node's answers and saves them to the platform.
+ *
+ * The services are spread over parts, each with its own lock and its own object accounts/<node>/<part>; only parts that changed are written.
+ */
+class account_keeper
+{
+public:
+    using write_function = std::function<outcome<object_version>(const std::string &key, const std::string &value, object_version expected)>;
+    using read_function = std::function<outcome<object>(const std::string &key)>;
+
+    account_keeper(node_id node, incarnation nodeIncarnation, read_function read, write_function write);
+
+    void add(const answer_record &record);
+    /** Marks that this node gives the service no more answers. */
+    void closeService(const service_id &service);
+
+    /** Saves the parts that changed. Returns the last failure, or an empty string. */
+    std::string save();
+    /** Marks all parts as final and saves them. */
+    std::string close();
+
+private:
+    static constexpr std::size_t PARTS = 8;
+
+    struct part
+    {
+        std::mutex mutex;
+        node_account account;
+        object_version stored;
+        bool changed = true; ///< True from the start, so that each incarnation is registered.
+        std::mutex saving; ///< Held during a save, which calls the platform.
+        json older; ///< Accounts of earlier incarnations in the same object.
+    };
+
+    std::string savePart(std::size_t index);
+    std::string keyOf(std::size_t index) const;
+    part &partOf(const service_id &service);
+
+    const node_id m_node;
+    read_function m_read;
+    write_function m_write;
+    std::array<part, PARTS> m_parts;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/node/caller_api.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <atomic>
+#include <string>
+
+#include "core/json.h"
+#include "http/http_request.h"
+#include "http/http_response.h"
+
+namespace snipefall {
+
+class entry_service;
+class execute_service;
+class query_service;
+
+/** The routes for callers. */
+class caller_api
+{
+public:
+    caller_api(entry_service &entries, query_service &queries, execute_service &executions);
+
+    http_response handle(const http_request &request);
+
+    /** After this, each response closes its connection, so that callers connect elsewhere. */
+    void startDraining() { m_draining = true; }
+    /** Requests that are being answered. */
+    int running() const { return m_running; }
+
+private:
+    http_response route(const http_request &request);
+
+    entry_service &m_entries;
+    query_service &m_queries;
+    execute_service &m_executions;
+    std::atomic<bool> m_draining{false};
+    std::atomic<int> m_running{0};
+};
+
+} // namespace snipefall
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -1,4 +1,69 @@
-int main()
+#include <csignal>
+#include <cstdio>
+
+#include <fmt/format.h>
+#include <pthread.h>
+
+#include "core/logger.h"
+#include "core/setting_values.h"
+#include "core/settings_table.h"
+#include "node/node.h"
+#include "node/node_settings.h"
+
+extern char **environ;
+
+namespace {
+
+constexpr int EXIT_USAGE = 2;
+constexpr int EXIT_START = 3;
+
+} // namespace
+
+int main(int argc, char **argv)
 {
+    using namespace snipefall;
+    const settings_table &table = node_settings::table();
+    for (int i = 1; i < argc; ++i) {
+        const std::string argument = argv[i];
+        if (argument == "--help" || argument == "--reference") {
+            fmt::print("{}", argument == "--help" ? table.help() : table.referencePage());
+            return 0;
+        }
+    }
+    const outcome<setting_values> values = table.parse(argc, argv, environ);
+    if (!values) {
+        fmt::print(stderr, "snipefalld: {}\n", values.reason().message);
+        return EXIT_USAGE;
+    }
+    const std::optional<log_level> level = parseLogLevel(values->text("log-level"));
+    if (!level || !values->arguments.empty()) {
+        fmt::print(
+            stderr, "snipefalld: {}\n", level ? "unexpected argument " + values->arguments.front() : "--log-level must be debug, info, warning or error");
+        return EXIT_USAGE;
+    }
+    setLogLevel(*level);
+    if (values->flag("check")) {
+        fmt::print("the settings are valid\n");
+        return 0;
+    }
+    // The signals are blocked in all threads and taken by sigwait() below; a write to a closed connection is an error value, not a signal.
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    node running(node_settings::fromValues(*values));
+    const std::string problem = running.start();
+    if (!problem.empty()) {
+        fmt::print(stderr, "snipefalld: {}\n", problem);
+        return EXIT_START;
+    }
+    int signalNumber = 0;
+    sigwait(&signals, &signalNumber);
+    logInfo("node.stopping", {{"signal", std::to_string(signalNumber)}});
+    running.stop();
+    logInfo("node.stopped");
     return 0;
 }
