--- a/http/fan_out_engine.cpp
+++ b/http/fan_out_engine.cpp
@@ -117,6 +117,7 @@
 
         io_thread &owner;
         cxxtools::http::Client client;
+        cxxtools::http::Request message; ///< The client reads it after beginExecute() returned, when the connection is made.
         std::uint64_t id = 0;
         std::string address;
         sub_response response;
@@ -235,7 +236,9 @@
         taken->deadline = request.deadline;
         taken->connectTimeout = request.connectTimeout;
         taken->progressTimeout = request.progressTimeout;
-        cxxtools::http::Request message(request.target);
+        cxxtools::http::Request &message = taken->message;
+        message.clear();
+        message.url(request.target);
         message.method(request.method);
         message.setHeader("Content-Type", "application/json");
         if (!request.requestId.empty()) {
