Add the numbered configuration: parser, patches, log and replica

Operators submit patches against a numbered version, and every node holds a copy that must never revert. The log needed a commit point without a second coordination service, so creating config/log/<n> if absent is the commit.

A lost answer is settled by reading the entry back. An entry that is still absent is created again, because only one of the two writes can succeed. A result is "unknown" when the log can't be read after a write was sent; reporting it as unavailable was ruled out, because the patch may be in the log. The log keeps the newest 256 entries to recognise a repeated patch id, also on another base version. Catching up reads the next entry and, only when it exists, lists the block of 100 entries, so that a poll without news costs one read.

A document that a replica can't parse moves its version and digest but leaves the former configuration in force, and the offer reports the fields.

Tests: tables, four racing operators over 60 versions, and a seeded fuzz run of 20 x 300 steps with an oracle that reads the objects without faults. A start from 330 patches takes at most 4 calls.

--- /dev/null
+++ b/core/configuration_patch.cpp
@@ -0,0 +1,91 @@
+#include "core/configuration_patch.h"
+
+#include <limits>
+
+#include "core/field_reader.h"
+
+namespace snipefall {
+
+namespace {
+
+using presence = field_reader::presence;
+
+constexpr std::size_t MAX_ID_BYTES = 128;
+constexpr std::size_t MAX_REASON_BYTES = 1'000;
+// The document is 3 levels deep; deeper merges are refused before recursive code meets them.
+constexpr int MAX_MERGE_DEPTH = 8;
+// Log keys have 12 digits.
+constexpr std::uint64_t MAX_BASE_VERSION = 999'999'999'998;
+
+bool isDeeperThan(const json &value, int depth)
+{
+    if (!value.is_structured()) {
+        return false;
+    }
+    if (depth == 0) {
+        return true;
+    }
+    for (const json &child : value) {
+        if (isDeeperThan(child, depth - 1)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+std::string canonicalText(const json &value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+json toJson(const configuration_patch &patch)
+{
+    return {{"patch_id", patch.id.str()},
+            {"base_version", patch.baseVersion.value()},
+            {"author", patch.author},
+            {"reason", patch.reason},
+            {"merge", patch.merge},
+            {"submitted_ms", patch.submittedMs}};
+}
+
+parsed<configuration_patch> parseConfigurationPatch(const json &value)
+{
+    parsed<configuration_patch> result;
+    auto &invalid = result.invalidFields;
+    if (isDeeperThan(value, MAX_MERGE_DEPTH + 1)) {
+        invalid.push_back({"/merge", nullptr, "at most " + std::to_string(MAX_MERGE_DEPTH) + " levels of nesting"});
+        return result;
+    }
+    const field_reader fields(value, json::json_pointer(), invalid);
+    if (!fields.isObject()) {
+        return result;
+    }
+    if (canonicalText(value).size() > MAX_PATCH_BYTES) {
+        invalid.push_back({"", nullptr, "a patch of at most " + std::to_string(MAX_PATCH_BYTES) + " bytes"});
+        return result;
+    }
+    configuration_patch patch;
+    std::string id;
+    std::uint64_t base = 0;
+    fields.refuseUnknown({"patch_id", "base_version", "author", "reason", "merge", "submitted_ms"});
+    fields.text("patch_id", presence::required, MAX_ID_BYTES, id);
+    fields.whole("base_version", presence::required, std::uint64_t{0}, MAX_BASE_VERSION, base);
+    fields.text("author", presence::required, MAX_ID_BYTES, patch.author);
+    fields.text("reason", presence::required, MAX_REASON_BYTES, patch.reason);
+    fields.whole("submitted_ms", presence::optional, std::uint64_t{0}, std::numeric_limits<std::uint64_t>::max(), patch.submittedMs);
+    if (const auto merge = value.find("merge"); merge != value.end() && merge->is_object()) {
+        patch.merge = *merge;
+    } else {
+        fields.report("merge", "an object, applied as an RFC 7396 merge patch");
+    }
+    if (invalid.empty()) {
+        patch.id = patch_id(id);
+        patch.baseVersion = config_version(base);
+        result.value = std::move(patch);
+    }
+    return result;
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/tests/platform/test_configuration_log.cpp
@@ -0,0 +1,273 @@
+#include <array>
+#include <barrier>
+#include <map>
+#include <memory>
+#include <numeric>
+#include <set>
+#include <thread>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "core/configuration_replica.h"
+#include "platform/configuration_log.h"
+#include "tests/platform/faulty_object_store.h"
+
+using namespace snipefall;
+
+namespace {
+
+using kind = commit_result::kind;
+
+configuration_patch patchOf(const std::string &id, std::uint64_t base, json merge = {{"entry_ttl_ms", 5000}})
+{
+    return {patch_id(id), config_version(base), "author-" + id, "test", std::move(merge), 1};
+}
+
+struct commit_case
+{
+    const char *name;
+    configuration_patch patch;
+    int answersLost;
+    bool down;
+    kind expected;
+    std::uint64_t version; ///< In the result.
+};
+
+std::ostream &operator<<(std::ostream &out, const commit_case &row)
+{
+    return out << row.name;
+}
+
+constexpr std::size_t OPERATORS = 4;
+constexpr std::size_t ROUNDS = 60;
+
+/** Committed on a log that already holds the patches p1 to p3. */
+const commit_case COMMITS[] = {
+    {"next version", patchOf("p4", 3), 0, false, kind::applied, 4},
+    {"answer lost", patchOf("p4", 3), 1, false, kind::applied, 4},
+    {"platform down", patchOf("p4", 3), 0, true, kind::unavailable, 0},
+    {"taken version", patchOf("p4", 1), 0, false, kind::refused, 2},
+    {"version that does not exist", patchOf("p4", 9), 0, false, kind::refused, 3},
+    {"repeat", patchOf("p2", 1), 0, false, kind::applied, 2},
+    {"repeat on another base", patchOf("p2", 3), 0, false, kind::applied, 2},
+    {"id of another patch", patchOf("p2", 3, {{"entry_ttl_ms", 6000}}), 0, false, kind::invalid, 0},
+    {"invalid document", patchOf("p4", 3, {{"entry_ttl_ms", 1}}), 0, false, kind::invalid, 0},
+    {"invalid patch", patchOf("", 3), 0, false, kind::invalid, 0},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(configuration_log_tests)
+
+// Guards against results that differ from what the log holds, on a log with and without its cache.
+BOOST_DATA_TEST_CASE(commitResults, COMMITS *boost::unit_test::data::make({true, false}), row, cached)
+{
+    memory_object_store store;
+    configuration_log writer(store);
+    for (int n = 1; n <= 3; ++n) {
+        BOOST_REQUIRE((writer.commit(patchOf("p" + std::to_string(n), n - 1)).status == kind::applied));
+    }
+    configuration_log fresh(store);
+    configuration_log<memory_object_store> &log = cached ? writer : fresh;
+    store.loseAnswers(row.answersLost);
+    store.setDown(row.down);
+    const commit_result result = log.commit(row.patch);
+    store.setDown(false);
+    BOOST_TEST((result.status == row.expected), result.message);
+    BOOST_TEST(result.version.value() == row.version);
+    BOOST_TEST(result.winner.has_value() == (row.expected == kind::refused && row.version == 2));
+    BOOST_TEST(result.invalidFields.empty() == (row.expected != kind::invalid));
+    BOOST_TEST(log.load()->version.value() == (result.version.value() == 4 ? 4u : 3u));
+}
+
+// Guards against start-up that reads the whole history, and against history lost to the snapshot.
+BOOST_AUTO_TEST_CASE(snapshotShortensStartUp)
+{
+    memory_object_store store;
+    configuration_log writer(store);
+    for (std::uint64_t n = 0; n < 330; ++n) {
+        BOOST_REQUIRE((writer.commit(patchOf("p" + std::to_string(n), n, {{"entry_ttl_ms", 1000 + n}})).status == kind::applied));
+    }
+    configuration_log reader(store);
+    const std::uint64_t before = store.calls();
+    BOOST_TEST(reader.load()->document["entry_ttl_ms"] == 1329);
+    BOOST_TEST(store.calls() - before <= 4u);
+    BOOST_TEST(reader.readAfter(config_version(0))->size() == 330u);
+    // A fresh log still knows a patch that is older than the snapshot.
+    BOOST_TEST(reader.commit(patchOf("p100", 330, {{"entry_ttl_ms", 1100}})).version.value() == 101u);
+}
+
+// Guards against two operators who are both told that they made the same version.
+BOOST_AUTO_TEST_CASE(racingOperators)
+{
+    memory_object_store store;
+    std::barrier round(OPERATORS);
+    std::vector<std::uint64_t> wins(ROUNDS * OPERATORS);
+    std::vector<std::thread> threads;
+    threads.reserve(OPERATORS);
+    for (std::size_t n = 0; n < OPERATORS; ++n) {
+        threads.emplace_back([&, n] {
+            configuration_log log(store);
+            for (std::uint64_t base = 0; base < ROUNDS; ++base) {
+                round.arrive_and_wait();
+                const auto result = log.commit(patchOf(std::to_string(n) + "-" + std::to_string(base), base));
+                wins[base * OPERATORS + n] = result.status == kind::applied ? 1 : result.status == kind::refused ? 0 : 100;
+            }
+        });
+    }
+    for (std::thread &thread : threads) {
+        thread.join();
+    }
+    for (std::uint64_t base = 0; base < ROUNDS; ++base) {
+        BOOST_TEST(std::accumulate(wins.begin() + base * OPERATORS, wins.begin() + (base + 1) * OPERATORS, std::uint64_t{0}) == 1u);
+    }
+}
+
+namespace {
+
+/** Three nodes with their logs and replicas, a faulty platform, and an oracle that reads the platform's objects without faults. */
+struct configuration_world
+{
+    explicit configuration_world(std::uint64_t seed)
+        : random(seed)
+    {
+        faulty.setFaultPercent(10);
+    }
+
+    std::uint64_t pick(std::uint64_t count) { return random() % count; }
+
+    /** The log as stored, checked to be contiguous and without a patch id that repeats. */
+    std::vector<configuration_patch> truth()
+    {
+        auto patches = *oracle.readAfter(config_version(0));
+        BOOST_REQUIRE(store.list(call_purpose::configuration, CONFIGURATION_LOG_PREFIX)->size() == patches.size());
+        std::set<patch_id> ids;
+        for (const auto &patch : patches) {
+            BOOST_REQUIRE(ids.insert(patch.id).second);
+        }
+        return patches;
+    }
+
+    void commit()
+    {
+        const bool repeat = !submitted.empty() && pick(3) == 0;
+        const std::uint64_t base = truth().size() + pick(4) / 3 - std::min<std::uint64_t>(truth().size(), pick(4) / 3);
+        configuration_patch patch = patchOf("p" + std::to_string(submitted.size()), base, {{"entry_ttl_ms", 60 * pick(20)}});
+        if (repeat) {
+            patch = submitted[pick(submitted.size())];
+            patch.baseVersion = pick(2) == 0 ? config_version(base) : patch.baseVersion;
+        } else {
+            submitted.push_back(patch);
+        }
+        const commit_result result = logs[pick(logs.size())].commit(patch);
+        const auto patches = truth();
+        const auto found = std::find_if(patches.begin(), patches.end(), [&](const auto &entry) { return entry.id == patch.id; });
+        if (result.status == kind::unknown) {
+            uncertain.insert(patch.id);
+        } else if (result.status == kind::applied) {
+            BOOST_REQUIRE((found != patches.end() && found->version() == result.version));
+        } else if (result.status == kind::unavailable) {
+            BOOST_REQUIRE((found == patches.end() || repeat));
+        } else {
+            BOOST_REQUIRE((found == patches.end()));
+        }
+        if (result.winner) {
+            BOOST_REQUIRE((*result.winner == patches.at(result.winner->baseVersion.value())));
+        }
+        ++results[result.status];
+    }
+
+    void checkReplica(const configuration_replica &replica, config_version before)
+    {
+        const auto patches = truth();
+        configuration_snapshot expected;
+        while (expected.version < replica.position().version) {
+            BOOST_REQUIRE(expected.apply(patches.at(expected.version.value())));
+        }
+        BOOST_REQUIRE((replica.snapshot() == expected && replica.position().version >= before));
+        BOOST_REQUIRE((replica.current()->version == expected.version));
+        BOOST_REQUIRE((replica.current()->entryTtlMs == expected.document.value("entry_ttl_ms", 5000u)));
+    }
+
+    void spread()
+    {
+        auto &replica = replicas[pick(replicas.size())];
+        if (pick(25) == 0) {
+            replica = std::make_unique<configuration_replica>();
+        }
+        const config_version before = replica->position().version;
+        configuration_offer offer;
+        if (pick(3) == 0) {
+            auto patches = truth();
+            patches.erase(patches.begin(), patches.begin() + static_cast<std::ptrdiff_t>(patches.size() - std::min<std::size_t>(patches.size(), pick(12))));
+            for (std::size_t repeats = patches.empty() ? 0 : pick(patches.size()); repeats > 0; --repeats) {
+                patches.push_back(configuration_patch(patches[pick(patches.size())]));
+            }
+            std::shuffle(patches.begin(), patches.end(), random);
+            patches.resize(patches.size() - std::min<std::size_t>(patches.size(), pick(3)));
+            offer = replica->offer(patches);
+        } else if (pick(2) == 0) {
+            offer = replica->offerDelta(replicas[pick(replicas.size())]->patchesAfter(config_version(pick(before.value() + 2))));
+        } else {
+            old.push_back(replica->snapshot());
+            offer = replica->offerSnapshot(old[pick(old.size())]);
+        }
+        BOOST_REQUIRE(!offer.diverged);
+        checkReplica(*replica, before);
+    }
+
+    void converge()
+    {
+        faulty.setFaultPercent(0);
+        for (int turn = 0; turn < 2; ++turn) {
+            for (auto &replica : replicas) {
+                const auto missing = logs[0].readAfter(replica->position().version);
+                BOOST_REQUIRE(missing.hasValue());
+                replica->offer(*missing);
+                checkReplica(*replica, replica->position().version);
+                BOOST_REQUIRE((replica->position() == replicas[0]->position()));
+            }
+        }
+        BOOST_REQUIRE((replicas[0]->snapshot() == *logs[1].load()));
+    }
+
+    std::mt19937_64 random;
+    memory_object_store store;
+    faulty_object_store faulty{store, random};
+    configuration_log<memory_object_store> oracle{store};
+    std::array<configuration_log<faulty_object_store>, 3> logs{configuration_log(faulty), configuration_log(faulty), configuration_log(faulty)};
+    std::array<std::unique_ptr<configuration_replica>, 4> replicas{std::make_unique<configuration_replica>(),
+                                                                   std::make_unique<configuration_replica>(),
+                                                                   std::make_unique<configuration_replica>(),
+                                                                   std::make_unique<configuration_replica>()};
+    std::vector<configuration_patch> submitted;
+    std::vector<configuration_snapshot> old;
+    std::set<patch_id> uncertain;
+    std::map<kind, int> results;
+};
+
+} // namespace
+
+// Guards against results that the log contradicts, patches applied twice, replicas that revert and replicas that stay apart,
+// under lost answers, late writes and outages together with wiped and stale replicas and reordered deltas.
+BOOST_AUTO_TEST_CASE(fuzzAgainstOracle)
+{
+    std::map<kind, int> results;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        configuration_world world(seed);
+        for (int step = 0; step < 300; ++step) {
+            world.pick(2) == 0 ? world.commit() : world.spread();
+        }
+        world.converge();
+        for (const auto &[status, count] : world.results) {
+            results[status] += count;
+        }
+    }
+    for (const kind status : {kind::applied, kind::refused, kind::invalid, kind::unavailable, kind::unknown}) {
+        BOOST_TEST_MESSAGE("results of kind " << static_cast<int>(status) << ": " << results[status]);
+        BOOST_TEST(results[status] > 0);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
