Add membership, facts and the authenticated channel between nodes

Nodes need to know of each other and of observed facts while the platform is down. A consensus group or second coordination service is ruled out by the design, so membership is SWIM with suspicion and Lifeguard's local health, and facts travel in the same datagrams.

policy/membership and policy/fact_table are pure; policy/gossip_engine combines them and adds anti-entropy by digests of 32 buckets, so that no full list is sent while nodes agree. peer/ adds the Thrift messages, the HMAC envelope with replay protection, UDP, exchanges over TCP and gossip_service, which drives the engine with the real clock.

The envelope names its recipient, so that a replaced VM that reuses an address doesn't answer for its predecessor, and its send time, so that sequences need only be remembered for a bounded time.

--- /dev/null
+++ b/peer/allowed_peers.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "core/outcome.h"
+
+namespace snipefall {
+
+/** The networks and addresses that messages from peers may come from; empty allows all. */
+class allowed_peers
+{
+public:
+    /** Parses "10.1.0.0/16" or "10.1.2.3"; invalid_argument names the first bad entry. */
+    static outcome<allowed_peers> parse(const std::vector<std::string> &entries);
+
+    bool allows(const std::string &ip) const;
+
+private:
+    struct network
+    {
+        std::uint32_t address = 0;
+        std::uint32_t mask = 0;
+    };
+
+    std::vector<network> m_networks;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/peer/exchange_server.cpp
@@ -0,0 +1,188 @@
+#include "peer/exchange_server.h"
+
+#include <future>
+
+#include <thrift/TProcessor.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/server/TThreadedServer.h>
+#include <thrift/transport/TServerSocket.h>
+#include <thrift/transport/TSocket.h>
+
+#include "core/clock.h"
+#include "core/logger.h"
+#include "peer/framed_transport_factory.h"
+#include "peer/generated/peer_exchange.h"
+#include "peer/thrift_bytes.h"
+
+namespace snipefall {
+
+namespace {
+
+using apache::thrift::transport::TTransportException;
+
+class connection_handler : public peer_messages::peer_exchangeIf
+{
+public:
+    connection_handler(exchange_server &server, std::string ip)
+        : m_server(server)
+        , m_ip(std::move(ip))
+    {
+    }
+
+    void exchange(peer_messages::envelope &result, const peer_messages::envelope &request) override
+    {
+        auto answered = m_server.answer(request, m_ip);
+        if (!answered) {
+            throw apache::thrift::TException("refused");
+        }
+        result = std::move(*answered);
+    }
+
+private:
+    exchange_server &m_server;
+    std::string m_ip;
+};
+
+/** Closes a connection from an address that isn't allowed before anything is read. */
+class refusing_processor : public apache::thrift::TProcessor
+{
+public:
+    bool process(std::shared_ptr<apache::thrift::protocol::TProtocol>, std::shared_ptr<apache::thrift::protocol::TProtocol>, void *) override { return false; }
+};
+
+class processor_factory : public apache::thrift::TProcessorFactory
+{
+public:
+    explicit processor_factory(exchange_server &server)
+        : m_server(server)
+    {
+    }
+
+    std::shared_ptr<apache::thrift::TProcessor> getProcessor(const apache::thrift::TConnectionInfo &connection) override
+    {
+        const auto socket = std::dynamic_pointer_cast<apache::thrift::transport::TSocket>(connection.transport);
+        const std::string ip = socket ? socket->getPeerAddress() : std::string();
+        if (!m_server.admits(ip)) {
+            return std::make_shared<refusing_processor>();
+        }
+        return std::make_shared<peer_messages::peer_exchangeProcessor>(std::make_shared<connection_handler>(m_server, ip));
+    }
+
+private:
+    exchange_server &m_server;
+};
+
+/** Reports that the socket listens. */
+class started_event : public apache::thrift::server::TServerEventHandler
+{
+public:
+    explicit started_event(std::shared_ptr<std::promise<std::optional<failure>>> started)
+        : m_started(std::move(started))
+    {
+    }
+
+    void preServe() override { m_started->set_value(std::nullopt); }
+
+private:
+    std::shared_ptr<std::promise<std::optional<failure>>> m_started;
+};
+
+} // namespace
+
+exchange_server::exchange_server(envelope_codec &codec, allowed_peers allowed, exchange_limits limits, refusal_counters &refusals)
+    : m_codec(codec)
+    , m_allowed(std::move(allowed))
+    , m_limits(limits)
+    , m_refusals(refusals)
+    , m_guard(2 * codec.maxSkewMs())
+{
+}
+
+exchange_server::~exchange_server()
+{
+    stop();
+}
+
+void exchange_server::registerHandler(message_kind kind, exchange_handler handler)
+{
+    m_handlers[kind] = std::move(handler);
+}
+
+std::optional<failure> exchange_server::start(const socket_address &address)
+{
+    const auto socket = std::make_shared<apache::thrift::transport::TServerSocket>(address.ip, address.port);
+    const auto idleMs = static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(m_limits.idleTimeout).count());
+    socket->setRecvTimeout(idleMs);
+    socket->setSendTimeout(idleMs);
+    const auto limit = static_cast<std::int32_t>(m_limits.maxFrameBytes);
+    m_server = std::make_shared<apache::thrift::server::TThreadedServer>(std::make_shared<processor_factory>(*this),
+                                                                         socket,
+                                                                         std::make_shared<framed_transport_factory>(m_limits.maxFrameBytes),
+                                                                         std::make_shared<apache::thrift::protocol::TCompactProtocolFactory>(limit, limit));
+    m_server->setConcurrentClientLimit(m_limits.maxConnections);
+    const auto started = std::make_shared<std::promise<std::optional<failure>>>();
+    std::future<std::optional<failure>> result = started->get_future();
+    m_server->setServerEventHandler(std::make_shared<started_event>(started));
+    m_thread = std::thread([server = m_server, started] {
+        try {
+            server->serve();
+        } catch (const std::exception &error) {
+            logError("exchange_server_failed", {{"error", error.what()}});
+            try {
+                started->set_value(failure{error_code::unavailable, std::string("listen: ") + error.what()});
+            } catch (const std::future_error &) {
+                // The server had started before it failed.
+                return;
+            }
+        }
+    });
+    std::optional<failure> failed = result.get();
+    if (failed) {
+        m_thread.join();
+        m_server.reset();
+    }
+    return failed;
+}
+
+void exchange_server::stop()
+{
+    if (m_thread.joinable()) {
+        m_server->stop();
+        m_thread.join();
+    }
+    m_server.reset();
+}
+
+bool exchange_server::admits(const std::string &ip)
+{
+    if (m_allowed.allows(ip)) {
+        return true;
+    }
+    m_refusals.add(refusal_reason::address_not_allowed, ip);
+    return false;
+}
+
+std::optional<peer_messages::envelope> exchange_server::answer(const peer_messages::envelope &request, const std::string &ip)
+{
+    refusal_reason reason{};
+    const auto message = m_codec.open(request, ip, wallClockMs(), &m_guard, reason);
+    if (!message) {
+        m_refusals.add(reason, ip);
+        return std::nullopt;
+    }
+    const auto handler = m_handlers.find(message->kind);
+    if (handler == m_handlers.end()) {
+        m_refusals.add(refusal_reason::unknown_kind, ip);
+        return std::nullopt;
+    }
+    outcome<std::string> result = handler->second(*message);
+    if (result) {
+        return m_codec.seal(message->kind, message->sender, std::move(result).value(), message->sequence);
+    }
+    peer_messages::exchange_failure reported;
+    reported.code = static_cast<std::int16_t>(result.reason().code);
+    reported.message = result.reason().message;
+    return m_codec.seal(message_kind::exchange_failure, message->sender, toThriftBytes(reported), message->sequence);
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/peer/framed_transport_factory.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <memory>
+
+#include <thrift/transport/TBufferTransports.h>
+
+namespace snipefall {
+
+/** Makes framed transports that refuse frames above a limit before they reserve memory for them. */
+class framed_transport_factory : public apache::thrift::transport::TTransportFactory
+{
+public:
+    explicit framed_transport_factory(std::size_t maxFrameBytes)
+        : m_config(std::make_shared<apache::thrift::TConfiguration>(static_cast<int>(maxFrameBytes), static_cast<int>(maxFrameBytes)))
+    {
+    }
+
+    std::shared_ptr<apache::thrift::transport::TTransport> getTransport(std::shared_ptr<apache::thrift::transport::TTransport> transport) override
+    {
+        constexpr std::uint32_t BUFFER_BYTES = 512;
+        // A buffer above the second size is given back after the message.
+        constexpr std::uint32_t RECLAIM_BYTES = 64U << 10U;
+        return std::make_shared<apache::thrift::transport::TFramedTransport>(std::move(transport), BUFFER_BYTES, RECLAIM_BYTES, m_config);
+    }
+
+private:
+    std::shared_ptr<apache::thrift::TConfiguration> m_config;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/peer/gossip_codec.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "policy/gossip_message.h"
+
+namespace snipefall {
+
+/** The payload of a datagram in Thrift's compact protocol. */
+std::string encodeGossip(const gossip_message &message);
+
+/** Nothing when the bytes are malformed or a value is out of range. */
+std::optional<gossip_message> decodeGossip(std::string_view bytes);
+
+} // namespace snipefall
--- /dev/null
+++ b/peer/message_kind.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include <cstdint>
+
+namespace snipefall {
+
+/** Kinds of messages between nodes; the values are part of the protocol. Handlers of exchanges use values from first_exchange on. */
+enum class message_kind : std::int16_t
+{
+    gossip = 1,
+    exchange_failure = 2,
+    first_exchange = 100,
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/peer/refusal_reason.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstddef>
+
+namespace snipefall {
+
+/** Why a message from a peer was refused. */
+enum class refusal_reason
+{
+    address_not_allowed,
+    oversized,
+    malformed, ///< Truncated, or not a message of this protocol.
+    unknown_version,
+    unknown_key,
+    wrong_authenticator,
+    wrong_recipient,
+    own_message,
+    stale_time, ///< The sender's clock differs by more than the allowed skew, or the message was kept back.
+    stale_incarnation,
+    replayed,
+    unknown_kind,
+};
+
+constexpr std::size_t REFUSAL_REASONS = 12;
+
+inline const char *toString(refusal_reason reason)
+{
+    constexpr const char *NAMES[REFUSAL_REASONS] = {"address_not_allowed",
+                                                    "oversized",
+                                                    "malformed",
+                                                    "unknown_version",
+                                                    "unknown_key",
+                                                    "wrong_authenticator",
+                                                    "wrong_recipient",
+                                                    "own_message",
+                                                    "stale_time",
+                                                    "stale_incarnation",
+                                                    "replayed",
+                                                    "unknown_kind"};
+    return NAMES[static_cast<std::size_t>(reason)];
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/broadcast_queue.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace snipefall {
+
+/** Keys of news that is still to be sent, least sent first and newest first among equals. */
+class broadcast_queue
+{
+public:
+    /**
+     * Sends of one piece of news by each node that learns it.
+     *
+     * A node is missed by all senders with a probability of about e^-sends; three times log10(n) with a base of 2 keeps that near 1e-4 at 10% loss, and
+     * anti-entropy repairs the rest.
+     */
+    static int sendLimit(std::size_t members) { return 2 + static_cast<int>(std::ceil(3.0 * std::log10(static_cast<double>(members) + 1.0))); }
+
+    bool empty() const { return m_order.empty(); }
+
+    void add(const std::string &key)
+    {
+        remove(key);
+        const std::uint64_t age = ~(++m_added);
+        m_entries[key] = {0, age};
+        m_order.insert({0, age, key});
+    }
+
+    void remove(const std::string &key)
+    {
+        const auto found = m_entries.find(key);
+        if (found == m_entries.end()) {
+            return;
+        }
+        m_order.erase({found->second.first, found->second.second, key});
+        m_entries.erase(found);
+    }
+
+    /** Offers keys to @p take, which returns whether the news went into a datagram. Keys that reach @p limit sends are dropped. */
+    template <typename Take>
+    void collect(int limit, Take take)
+    {
+        constexpr int MAX_MISFITS = 3;
+        std::vector<std::tuple<int, std::uint64_t, std::string>> taken;
+        int misfits = 0;
+        for (const auto &entry : m_order) {
+            if (take(std::get<2>(entry))) {
+                taken.push_back(entry);
+            } else if (++misfits == MAX_MISFITS) {
+                break;
+            }
+        }
+        for (const auto &[sends, age, key] : taken) {
+            m_order.erase({sends, age, key});
+            if (sends + 1 >= limit) {
+                m_entries.erase(key);
+                continue;
+            }
+            m_entries[key] = {sends + 1, age};
+            m_order.insert({sends + 1, age, key});
+        }
+    }
+
+private:
+    std::map<std::string, std::pair<int, std::uint64_t>> m_entries;
+    std::set<std::tuple<int, std::uint64_t, std::string>> m_order;
+    std::uint64_t m_added = 0;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/fact.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "core/clock.h"
+#include "core/ids.h"
+#include "policy/fact_kind.h"
+
+namespace snipefall {
+
+/** Something that a node observed and all nodes need to know for a while. */
+struct fact
+{
+    std::string key; ///< The newest fact of a key replaces older ones.
+    fact_kind kind = fact_kind::other;
+    std::string payload;
+    node_id origin;
+    incarnation originIncarnation;
+    std::uint64_t sequence = 0;
+    duration lifetime{0}; ///< Time left until it expires.
+};
+
+/** Upper bound of the encoded size in bytes. */
+inline std::size_t encodedSizeBound(const fact &item)
+{
+    constexpr std::size_t FIXED_BYTES = 46;
+    return FIXED_BYTES + item.key.size() + item.payload.size() + item.origin.str().size();
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/fact_kind.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstdint>
+
+namespace snipefall {
+
+/** The values are part of the protocol; nodes relay kinds that they don't know. */
+enum class fact_kind : std::uint16_t
+{
+    other = 0,
+    bad_version = 1,
+    quarantined = 2,
+    leaving_server = 3,
+    cold_server = 4,
+    suspected_request = 5,
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/gossip_engine.cpp
@@ -0,0 +1,224 @@
+#include "policy/gossip_engine.h"
+
+#include <algorithm>
+
+namespace snipefall {
+
+namespace {
+
+/** Envelope, UDP and IP headers of a datagram. */
+constexpr std::size_t HEADER_BYTES = 140;
+/** Datagrams that answer one pull. */
+constexpr std::size_t SYNC_DATAGRAMS = 4;
+/** Facts expire with this resolution. */
+constexpr duration EXPIRY_INTERVAL = std::chrono::milliseconds(200);
+/** The same newer version is reported again after this time, in case the first pull failed. */
+constexpr duration AHEAD_INTERVAL = std::chrono::milliseconds(500);
+
+} // namespace
+
+gossip_engine::gossip_engine(const gossip_settings &settings, member self, std::uint64_t seed)
+    : m_settings(settings)
+    , m_membership(settings.membership, std::move(self), seed)
+    , m_budget(settings.burstBytes)
+{
+}
+
+std::vector<outgoing_gossip> gossip_engine::tick(time_point now)
+{
+    if (!m_started) {
+        m_started = now;
+        m_budgetAt = now;
+    }
+    refillBudget(now);
+    datagrams out = m_membership.tick(now);
+    if (now >= m_nextExpiry) {
+        m_facts.tick(now);
+        m_nextExpiry = now + EXPIRY_INTERVAL;
+    }
+    spreadNews(now, out);
+    finish(now, out);
+    return out;
+}
+
+void gossip_engine::spreadNews(time_point now, datagrams &out)
+{
+    if (now < m_nextNews || m_budget <= 0 || !hasNews()) {
+        return;
+    }
+    m_nextNews = now + m_settings.newsInterval;
+    for (const node_id &id : m_membership.randomLive(m_settings.fanout)) {
+        out.push_back({m_membership.others().find(id)->peerAddress, id, gossip_message()});
+        m_announcements = std::max(0, m_announcements - 1);
+    }
+}
+
+std::vector<outgoing_gossip> gossip_engine::receive(time_point now, const node_id &sender, const std::string &from, const gossip_message &message)
+{
+    if (sender == m_membership.self().id) {
+        return {};
+    }
+    refillBudget(now);
+    datagrams out = m_membership.receive(now, sender, from, message);
+    for (const fact &item : message.facts) {
+        if (m_facts.merge(now, item)) {
+            m_events.facts.push_back(item);
+        }
+    }
+    noteConfigVersion(now, sender, from, message.configVersion);
+    if (message.type == gossip_type::pull) {
+        answerPull(now, sender, from, message, out);
+    } else {
+        compareDigests(now, sender, from, message, out);
+    }
+    finish(now, out);
+    return out;
+}
+
+void gossip_engine::noteConfigVersion(time_point now, const node_id &sender, const std::string &from, config_version version)
+{
+    m_membership.noteConfigVersion(sender, version);
+    if (version <= m_membership.self().configVersion || (version <= m_highestAhead && now < m_lastAhead + AHEAD_INTERVAL)) {
+        return;
+    }
+    m_highestAhead = std::max(m_highestAhead, version);
+    m_lastAhead = now;
+    m_events.ahead.push_back({sender, from, version});
+}
+
+void gossip_engine::compareDigests(time_point now, const node_id &sender, const std::string &from, const gossip_message &message, datagrams &out)
+{
+    const bool membersDiffer = message.memberDigest != m_membership.digest().total();
+    const bool factsDiffer = message.factDigest != m_facts.digest().total();
+    if (!membersDiffer && !factsDiffer) {
+        m_mismatchSince.reset();
+        return;
+    }
+    if (!m_mismatchSince) {
+        m_mismatchSince = now;
+    }
+    const bool joining = m_started && now < *m_started + m_settings.joinPhase;
+    const bool settled = now >= *m_mismatchSince + m_settings.pullDelay && now >= m_changed + m_settings.pullDelay;
+    const bool overdue = now >= *m_mismatchSince + m_settings.pullLatest;
+    const duration interval = joining ? m_settings.joinPullInterval : m_settings.pullDelay;
+    if ((!joining && !settled && !overdue) || now < m_lastPull + interval) {
+        return;
+    }
+    m_lastPull = now;
+    if (overdue) {
+        m_mismatchSince = now;
+    }
+    gossip_message pull;
+    pull.type = gossip_type::pull;
+    if (membersDiffer) {
+        pull.memberBuckets = m_membership.digest().buckets();
+    }
+    if (factsDiffer) {
+        pull.factBuckets = m_facts.digest().buckets();
+    }
+    out.push_back({from, sender, std::move(pull)});
+}
+
+void gossip_engine::answerPull(time_point now, const node_id &sender, const std::string &from, const gossip_message &message, datagrams &out)
+{
+    if (m_budget <= 0) {
+        return;
+    }
+    const std::size_t budget = m_settings.payloadBytes - encodedSizeBound(gossip_message());
+    const std::size_t firstBucket = m_membership.randomBucket();
+    datagrams answers;
+    if (!message.factBuckets.empty()) {
+        for (auto &group : m_facts.differing(now, message.factBuckets, budget, SYNC_DATAGRAMS, firstBucket)) {
+            answers.push_back({from, sender, gossip_message()});
+            answers.back().message.facts = std::move(group);
+        }
+    }
+    if (!message.memberBuckets.empty()) {
+        for (auto &group : m_membership.differing(message.memberBuckets, budget, SYNC_DATAGRAMS, firstBucket)) {
+            answers.push_back({from, sender, gossip_message()});
+            answers.back().message.updates = std::move(group);
+        }
+    }
+    for (outgoing_gossip &answer : answers) {
+        answer.message.type = gossip_type::sync;
+        out.push_back(std::move(answer));
+    }
+}
+
+void gossip_engine::finish(time_point now, datagrams &out)
+{
+    const std::uint64_t memberDigest = m_membership.digest().total();
+    if (memberDigest != m_lastMemberDigest || m_facts.digest().total() != m_lastFactDigest) {
+        m_changed = now;
+    }
+    m_lastMemberDigest = memberDigest;
+    m_lastFactDigest = m_facts.digest().total();
+    for (outgoing_gossip &datagram : out) {
+        gossip_message &message = datagram.message;
+        message.configVersion = m_membership.self().configVersion;
+        message.memberDigest = m_lastMemberDigest;
+        message.factDigest = m_lastFactDigest;
+        const std::size_t used = encodedSizeBound(message);
+        std::size_t left = m_settings.payloadBytes > used ? m_settings.payloadBytes - used : 0;
+        // A sync's claims are treated as old ones, so news doesn't travel in it. Facts go first, but leave half to members.
+        if (message.type != gossip_type::sync) {
+            left -= m_facts.collect(now, m_membership.hasNews() ? left / 2 : left, m_membership.sendLimit(), message.facts);
+            m_membership.appendNews(message, left);
+        }
+        m_budget -= static_cast<double>(encodedSizeBound(message) + HEADER_BYTES);
+    }
+}
+
+void gossip_engine::refillBudget(time_point now)
+{
+    if (!m_started) {
+        return;
+    }
+    const double seconds = std::chrono::duration<double>(now - m_budgetAt).count();
+    m_budget = std::min(m_settings.burstBytes, m_budget + seconds * m_settings.bytesPerSecond);
+    m_budgetAt = now;
+}
+
+std::vector<outgoing_gossip> gossip_engine::leave(time_point now)
+{
+    datagrams out = m_membership.leave(now);
+    finish(now, out);
+    return out;
+}
+
+outcome<fact> gossip_engine::publish(time_point now, fact item)
+{
+    item.origin = m_membership.self().id;
+    item.originIncarnation = m_membership.self().started;
+    outcome<fact> published = m_facts.publish(now, std::move(item));
+    if (published) {
+        m_changed = now;
+    }
+    return published;
+}
+
+std::vector<outgoing_gossip> gossip_engine::pushNews(time_point now)
+{
+    refillBudget(now);
+    datagrams out;
+    spreadNews(now, out);
+    finish(now, out);
+    return out;
+}
+
+void gossip_engine::setConfigVersion(config_version version)
+{
+    if (version <= m_membership.self().configVersion) {
+        return;
+    }
+    m_membership.setConfigVersion(version);
+    m_announcements = m_membership.sendLimit();
+}
+
+gossip_events gossip_engine::takeEvents()
+{
+    m_events.members = m_membership.takeEvents();
+    return std::exchange(m_events, {});
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/member_list.cpp
@@ -0,0 +1,274 @@
+#include "policy/member_list.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace snipefall {
+
+namespace {
+
+constexpr duration TOMBSTONE_CHECK_INTERVAL = std::chrono::seconds(10);
+/** Bounds the memory; unknown members are refused above it. */
+constexpr std::size_t MAX_RECORDS = 4096;
+
+bool isGone(member_state state)
+{
+    return !isLive(state);
+}
+
+} // namespace
+
+member_list::member_list(const membership_settings &settings, node_id self)
+    : m_settings(settings)
+    , m_self(std::move(self))
+{
+}
+
+bool member_list::apply(time_point now, const member_update &update, claim_source source, const node_id &sender)
+{
+    if (update.subject.id.empty() || update.subject.id == m_self) {
+        return false;
+    }
+    switch (update.subject.state) {
+    case member_state::alive:
+        return applyAlive(now, update);
+    case member_state::suspect:
+        return applySuspect(now, update);
+    case member_state::dead:
+    case member_state::left:
+        break;
+    }
+    const member *known = find(update.subject.id);
+    if (source == claim_source::sync && update.subject.state == member_state::dead && known != nullptr && isLive(known->state)) {
+        member_update doubt = update;
+        doubt.subject.state = member_state::suspect;
+        doubt.accuser = sender;
+        return applySuspect(now, doubt);
+    }
+    return applyGone(now, update);
+}
+
+bool member_list::applyAlive(time_point now, const member_update &update)
+{
+    const auto found = m_records.find(update.subject.id);
+    if (found == m_records.end()) {
+        if (m_records.size() >= MAX_RECORDS) {
+            return false;
+        }
+        setRecord(now, m_records[update.subject.id], update);
+        emit(member_event_kind::joined, update.subject);
+        return true;
+    }
+    record &known = found->second;
+    if (update.subject.started <= known.data.started) {
+        if (update.subject.started == known.data.started) {
+            known.data.configVersion = std::max(known.data.configVersion, update.subject.configVersion);
+        }
+        return false;
+    }
+    const member before = known.data;
+    setRecord(now, known, update);
+    if (isGone(before.state)) {
+        emit(member_event_kind::joined, update.subject);
+    } else if (before.state == member_state::suspect) {
+        emit(member_event_kind::refuted, update.subject);
+    }
+    const bool moved = before.peerAddress != update.subject.peerAddress || before.callerAddress != update.subject.callerAddress;
+    if (isLive(before.state) && (moved || before.state == member_state::alive)) {
+        emit(member_event_kind::restarted, update.subject);
+    }
+    return true;
+}
+
+bool member_list::applySuspect(time_point now, const member_update &update)
+{
+    const auto found = m_records.find(update.subject.id);
+    if (found == m_records.end() || update.subject.started > found->second.data.started) {
+        // The suspicion proves that the member was alive at this incarnation.
+        member_update alive = update;
+        alive.subject.state = member_state::alive;
+        if (!applyAlive(now, alive)) {
+            return false;
+        }
+    }
+    record &known = m_records.find(update.subject.id)->second;
+    if (update.subject.started < known.data.started || isGone(known.data.state)) {
+        return false;
+    }
+    if (known.data.state == member_state::alive) {
+        const double scale = std::max(1.0, std::log10(static_cast<double>(m_live.size()) + 1.0));
+        const auto shortest = duration(static_cast<duration::rep>(scale * static_cast<double>(m_settings.suspicionUnit.count())));
+        const auto longest = duration(static_cast<duration::rep>(m_settings.suspicionMaxFactor * static_cast<double>(shortest.count())));
+        // With few members there are not enough of them to confirm.
+        const std::size_t confirmations = m_live.size() < m_settings.suspicionConfirmations + 2 ? 0 : m_settings.suspicionConfirmations;
+        known.data.state = member_state::suspect;
+        known.since = now;
+        known.doubt.emplace(now, shortest, longest, confirmations);
+        m_suspects.insert(known.data.id);
+        emit(member_event_kind::suspected, known.data);
+    }
+    if (!known.doubt->confirm(update.accuser)) {
+        return false;
+    }
+    known.accuser = update.accuser;
+    m_news.add(known.data.id.str());
+    return true;
+}
+
+bool member_list::applyGone(time_point now, const member_update &update)
+{
+    const auto found = m_records.find(update.subject.id);
+    if (found == m_records.end() || update.subject.started < found->second.data.started || isGone(found->second.data.state)) {
+        return false;
+    }
+    setRecord(now, found->second, update);
+    emit(update.subject.state == member_state::dead ? member_event_kind::died : member_event_kind::departed, update.subject);
+    return true;
+}
+
+void member_list::setRecord(time_point now, record &target, const member_update &update)
+{
+    const bool wasLive = !target.data.id.empty() && isLive(target.data.state);
+    if (wasLive) {
+        removeLive(target);
+    }
+    target.data = update.subject;
+    target.accuser = node_id();
+    target.doubt.reset();
+    target.since = now;
+    m_suspects.erase(target.data.id);
+    if (isLive(target.data.state)) {
+        addLive(target);
+    }
+    m_news.add(target.data.id.str());
+    m_changed = now;
+}
+
+void member_list::addLive(record &target)
+{
+    target.livePosition = m_live.size();
+    m_live.push_back(target.data.id);
+    ++m_liveAddresses[target.data.peerAddress];
+    m_digest.toggle(target.data.id.str(), target.data.started.value(), 0);
+}
+
+void member_list::removeLive(record &target)
+{
+    m_digest.toggle(target.data.id.str(), target.data.started.value(), 0);
+    const auto address = m_liveAddresses.find(target.data.peerAddress);
+    if (--address->second == 0) {
+        m_liveAddresses.erase(address);
+    }
+    m_live[target.livePosition] = m_live.back();
+    m_records.find(m_live.back())->second.livePosition = target.livePosition;
+    m_live.pop_back();
+}
+
+void member_list::noteConfigVersion(const node_id &id, config_version version)
+{
+    const auto found = m_records.find(id);
+    if (found != m_records.end()) {
+        found->second.data.configVersion = version;
+    }
+}
+
+void member_list::tick(time_point now)
+{
+    std::vector<member_update> expired;
+    for (const node_id &id : m_suspects) {
+        const record &known = m_records.find(id)->second;
+        if (known.doubt->deadline() <= now) {
+            expired.push_back({known.data, node_id()});
+            expired.back().subject.state = member_state::dead;
+        }
+    }
+    for (const member_update &update : expired) {
+        applyGone(now, update);
+    }
+    if (now < m_tombstonesChecked + TOMBSTONE_CHECK_INTERVAL) {
+        return;
+    }
+    m_tombstonesChecked = now;
+    for (auto it = m_records.begin(); it != m_records.end();) {
+        const bool forget = isGone(it->second.data.state) && it->second.since + m_settings.tombstoneRetention <= now;
+        if (forget) {
+            m_news.remove(it->first.str());
+        }
+        it = forget ? m_records.erase(it) : std::next(it);
+    }
+}
+
+void member_list::extendSuspicions(duration pause)
+{
+    for (const node_id &id : m_suspects) {
+        m_records.find(id)->second.doubt->extend(pause);
+    }
+}
+
+const member *member_list::find(const node_id &id) const
+{
+    const auto found = m_records.find(id);
+    return found == m_records.end() ? nullptr : &found->second.data;
+}
+
+std::optional<member_update> member_list::claim(const node_id &id) const
+{
+    const auto found = m_records.find(id);
+    if (found == m_records.end()) {
+        return std::nullopt;
+    }
+    return member_update{found->second.data, found->second.accuser};
+}
+
+std::vector<node_id> member_list::dead() const
+{
+    std::vector<node_id> result;
+    for (const auto &[id, known] : m_records) {
+        // A replaced VM may reuse the address; then the dead id isn't there.
+        if (known.data.state == member_state::dead && !knowsLiveAddress(known.data.peerAddress)) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+std::vector<member> member_list::all() const
+{
+    std::vector<member> result;
+    result.reserve(m_records.size());
+    for (const auto &[id, known] : m_records) {
+        result.push_back(known.data);
+    }
+    return result;
+}
+
+std::vector<node_id> member_list::randomLive(std::mt19937_64 &random, std::size_t count, const node_id &excluded) const
+{
+    std::vector<node_id> result;
+    const std::size_t available = m_live.size();
+    if (available <= count + 1) {
+        std::copy_if(m_live.begin(), m_live.end(), std::back_inserter(result), [&](const node_id &id) { return id != excluded; });
+        std::shuffle(result.begin(), result.end(), random);
+        result.resize(std::min(result.size(), count));
+        return result;
+    }
+    while (result.size() < count) {
+        const node_id &candidate = m_live[random() % available];
+        if (candidate != excluded && std::find(result.begin(), result.end(), candidate) == result.end()) {
+            result.push_back(candidate);
+        }
+    }
+    return result;
+}
+
+void member_list::emit(member_event_kind kind, const member &subject)
+{
+    m_events.push_back({kind, subject});
+}
+
+std::vector<member_event> member_list::takeEvents()
+{
+    return std::exchange(m_events, {});
+}
+
+} // namespace snipefall
