Place services on nodes by weighted rendezvous hashing

Callers of a service need the few nodes that share its slots, and each node has to work them out alone and alike.

Jump hashing and hash rings were ruled out: neither gives weights and separate failure domains without moving services whose nodes did not change. Weighted rendezvous hashing ranks all members; the best of each failure domain comes first, and a domain is used twice only when there are fewer domains than places. A weight of 0 drains a node.

--- /dev/null
+++ b/policy/placement.cpp
@@ -0,0 +1,85 @@
+#include "policy/placement.h"
+
+#include <algorithm>
+#include <cmath>
+#include <set>
+
+#include "core/crypto.h"
+
+namespace snipefall {
+
+namespace {
+
+struct scored_member
+{
+    double score = 0.0;
+    const placement_member *member = nullptr;
+};
+
+// The weighted score of Schindelhauer and Schomaker: each member wins a share of the services proportional to its weight.
+double scoreOf(const service_id &service, const placement_member &member)
+{
+    const std::uint64_t hash = stableHash(service.str() + '\n' + member.id.str());
+    const double uniform = (static_cast<double>(hash >> 11) + 0.5) / 9007199254740992.0; // 53 bits, never 0 or 1.
+    return -member.weight / std::log(uniform);
+}
+
+std::vector<scored_member> rank(const service_id &service, const std::vector<placement_member> &members)
+{
+    std::vector<scored_member> ranked;
+    ranked.reserve(members.size());
+    for (const auto &member : members) {
+        if (member.weight <= 0.0) {
+            continue;
+        }
+        ranked.push_back({scoreOf(service, member), &member});
+    }
+    std::sort(ranked.begin(), ranked.end(), [](const scored_member &a, const scored_member &b) {
+        return a.score != b.score ? a.score > b.score : a.member->id < b.member->id;
+    });
+    return ranked;
+}
+
+} // namespace
+
+std::size_t holderCount(std::uint32_t slotsPerServer)
+{
+    return std::min<std::size_t>(MAX_HOLDERS, slotsPerServer);
+}
+
+std::vector<placement_member> placeService(const service_id &service, const std::vector<placement_member> &members, std::size_t count)
+{
+    const auto ranked = rank(service, members);
+    std::vector<placement_member> placed;
+    std::vector<const placement_member *> others;
+    std::set<failure_domain_id> used;
+    for (const auto &candidate : ranked) {
+        if (placed.size() == count) {
+            return placed;
+        }
+        if (used.insert(candidate.member->domain).second) {
+            placed.push_back(*candidate.member);
+        } else {
+            others.push_back(candidate.member);
+        }
+    }
+    // There are fewer failure domains than places.
+    for (const auto *member : others) {
+        if (placed.size() == count) {
+            break;
+        }
+        placed.push_back(*member);
+    }
+    return placed;
+}
+
+std::vector<std::string> entriesFor(const service_id &service, const std::vector<placement_member> &members, std::uint32_t slotsPerServer)
+{
+    std::vector<std::string> addresses;
+    for (const auto &member : placeService(service, members, holderCount(slotsPerServer))) {
+        addresses.push_back(member.callerAddress);
+    }
+    return addresses;
+}
+
+} // namespace snipefall
