Lease the permits of backend servers across nodes

Several nodes send to the same backend servers, which must never get more requests or connections together than they bear, whatever fails.

permits/<service> names a ring of holders and is changed by conditional update only. A holder renews by reading the record, or by a promise of the next entry in the ring while the platform is silent. Renewals by writes were ruled out: a read of all records by prefix renews every share of a node in one call and writes are the scarcer budget. As reads are seen by nobody else, a taker waits the lease and the margin from the confirmation of its own write, which is later than the last read that can have renewed the share. A taker writes only after it has been the next entry for a whole lease, since an earlier taker that was removed without knowing it promises until its own lease ends. Promises need the same version of the record on both sides. Voluntary changes are made by the giving node alone, after it has stopped using what it gives. The ring has up to three entries; those beyond the slots are standbys with an empty share, so that a service with one slot has a taker. A ring is replaced from outside only when the platform lists none of its VMs, because holders that are cut off may keep each other alive by promises.

Removing the margin alone is not found by the fuzz, as it takes a renewal within the last 2% of a lease.

--- /dev/null
+++ b/policy/permit_holder.cpp
@@ -0,0 +1,297 @@
+#include "policy/permit_holder.h"
+
+#include <algorithm>
+
+#include "policy/permit_rebalancing.h"
+
+namespace snipefall {
+
+namespace {
+
+bool isPlaced(const permit_surroundings &around, const node_id &node)
+{
+    return std::any_of(around.placed.begin(), around.placed.end(), [&node](const placement_member &member) { return member.id == node; });
+}
+
+} // namespace
+
+permit_holder::permit_holder(node_id self, incarnation started)
+    : m_self(std::move(self))
+    , m_started(started)
+{
+}
+
+std::vector<permit_action> permit_holder::tick(time_point now, const permit_surroundings &around)
+{
+    std::vector<permit_action> actions;
+    expireRequests(now);
+    renew(now, around, actions);
+    change(now, around, actions);
+    return actions;
+}
+
+void permit_holder::expireRequests(time_point now)
+{
+    if (m_read && now - m_read->sentAt >= PERMIT_ANSWER_TIMEOUT) {
+        m_read.reset();
+        m_platformSilent = true;
+    }
+    if (m_pending && m_pending->inFlight && now - m_pending->sentAt >= PERMIT_ANSWER_TIMEOUT) {
+        m_pending->inFlight = false;
+        m_pending->mayBeApplied = true;
+        m_platformSilent = true;
+    }
+    if (m_promise && now - m_promise->sentAt >= PERMIT_ANSWER_TIMEOUT) {
+        m_promise.reset();
+    }
+}
+
+void permit_holder::renew(time_point now, const permit_surroundings &around, std::vector<permit_action> &actions)
+{
+    const bool concerned = !m_permits || ownEntry() || m_permits->record.find(m_self) || isPlaced(around, m_self);
+    const auto interval = concerned ? PERMIT_RENEW_INTERVAL : PERMIT_IDLE_READ_INTERVAL;
+    const bool busy = m_read || (m_pending && m_pending->inFlight);
+    if (!busy && (!m_lastPlatformRequest || now - *m_lastPlatformRequest >= interval)) {
+        if (m_pending && !m_pending->conflicted) {
+            // A lost write may still take effect. Sending it again gives a definite answer, because both name the same version.
+            sendPending(now, actions);
+        } else {
+            m_read = request_in_flight{++m_lastOperation, now};
+            m_lastPlatformRequest = now;
+            actions.emplace_back(read_permits{m_lastOperation});
+        }
+    }
+    if (m_platformSilent) {
+        askTaker(now, actions);
+    }
+}
+
+void permit_holder::sendPending(time_point now, std::vector<permit_action> &actions)
+{
+    m_pending->operation = ++m_lastOperation;
+    m_pending->sentAt = now;
+    m_pending->inFlight = true;
+    m_lastPlatformRequest = now;
+    actions.emplace_back(write_permits{m_lastOperation, m_pending->permits});
+}
+
+void permit_holder::askTaker(time_point now, std::vector<permit_action> &actions)
+{
+    if (m_promise || !ownEntry() || (m_lastPromiseRequest && now - *m_lastPromiseRequest < PERMIT_RENEW_INTERVAL)) {
+        return;
+    }
+    const auto *taker = m_permits->record.takerOf(m_self);
+    if (!taker) {
+        return;
+    }
+    m_promise = request_in_flight{++m_lastOperation, now};
+    m_lastPromiseRequest = now;
+    actions.emplace_back(ask_promise{m_lastOperation, taker->node, {m_self, m_started, *m_permits}});
+}
+
+void permit_holder::change(time_point now, const permit_surroundings &around, std::vector<permit_action> &actions)
+{
+    if (m_pending) {
+        return;
+    }
+    m_cap.reset();
+    if (!m_permits || m_platformSilent) {
+        return;
+    }
+    const auto proposed = propose(now, around);
+    if (!proposed) {
+        return;
+    }
+    const auto kept = ownShareIn(proposed->record);
+    if (proposed->kind == change_kind::voluntary && !kept.covers(around.inUse)) {
+        m_cap = kept;
+        return;
+    }
+    m_pending = pending_write{{m_permits->version, proposed->record}, proposed->kind, 0, now, true, false, false};
+    sendPending(now, actions);
+}
+
+std::optional<permit_holder::proposal> permit_holder::propose(time_point now, const permit_surroundings &around) const
+{
+    const auto *own = ownEntry();
+    if (!own) {
+        return proposeAsStranger(around);
+    }
+    if (!m_lease.valid(now)) {
+        return std::nullopt;
+    }
+    const auto *predecessor = m_permits->record.predecessorOf(m_self);
+    if (predecessor && !around.cluster->live.contains(predecessor->node) && m_taker.mayTakeOver(now)) {
+        return proposal{m_permits->record.withTakeover(m_self), change_kind::take_over};
+    }
+    if (!m_lease.settled(now)) {
+        return std::nullopt;
+    }
+    auto voluntary = voluntaryChange(m_self, m_permits->record, around);
+    if (!voluntary) {
+        return std::nullopt;
+    }
+    return proposal{std::move(*voluntary), change_kind::voluntary};
+}
+
+std::optional<permit_holder::proposal> permit_holder::proposeAsStranger(const permit_surroundings &around) const
+{
+    const auto &record = m_permits->record;
+    if (const auto *earlier = record.find(m_self)) {
+        // A restarted node: it takes its earlier incarnation's place. A record of a later incarnation means that this process is the old one.
+        return earlier->started < m_started ? std::optional(proposal{record.withIncarnation(m_self, m_started), change_kind::reclaim}) : std::nullopt;
+    }
+    if (around.placed.empty() || around.placed.front().id != m_self) {
+        return std::nullopt;
+    }
+    if (m_permits->version == object_version(0)) {
+        return proposal{initialRecord(around), change_kind::create};
+    }
+    // Holders that are cut off from the platform may keep each other's leases alive by promises, so that silence is no reason to replace a ring.
+    const bool allGone =
+        std::all_of(record.ring().begin(), record.ring().end(), [&around](const permit_entry &entry) { return around.cluster->gone.contains(entry.node); });
+    if (!allGone) {
+        return std::nullopt;
+    }
+    return proposal{permit_record(record.epoch() + 1, {{m_self, m_started, record.total()}}), change_kind::take_over};
+}
+
+void permit_holder::readAnswered(std::uint64_t operation, time_point now, const outcome<versioned_permits> &answer)
+{
+    if (!m_read || m_read->operation != operation) {
+        return;
+    }
+    const auto requested = m_read->sentAt;
+    m_read.reset();
+    m_platformSilent = !answer;
+    if (!answer) {
+        return;
+    }
+    adopt(*answer, now);
+    if (ownEntry() && m_permits->version == answer->version) {
+        m_lease.renew(requested);
+    }
+}
+
+void permit_holder::writeAnswered(std::uint64_t operation, time_point now, const outcome<object_version> &answer)
+{
+    if (!m_pending || m_pending->operation != operation) {
+        return;
+    }
+    m_pending->inFlight = false;
+    if (answer) {
+        m_platformSilent = false;
+        const auto requested = m_pending->sentAt;
+        adopt({*answer, m_pending->permits.record}, now);
+        if (ownEntry() && m_permits->version == *answer) {
+            m_lease.renew(requested);
+        }
+        return;
+    }
+    const auto code = answer.reason().code;
+    m_platformSilent = code != error_code::conflict;
+    m_pending->mayBeApplied = m_pending->mayBeApplied || (code != error_code::conflict && code != error_code::unavailable);
+    if (!m_pending->mayBeApplied) {
+        m_pending.reset();
+    } else if (code == error_code::conflict) {
+        // The record that won may be this write, sent earlier.
+        m_pending->conflicted = true;
+    }
+    if (code == error_code::conflict) {
+        m_lastPlatformRequest.reset();
+    }
+}
+
+void permit_holder::promiseAnswered(std::uint64_t operation, time_point now, const outcome<promise_answer> &answer)
+{
+    if (!m_promise || m_promise->operation != operation) {
+        return;
+    }
+    const auto requested = m_promise->sentAt;
+    m_promise.reset();
+    if (!answer) {
+        return;
+    }
+    adopt(answer->permits, now);
+    if (answer->granted && ownEntry() && m_permits->version == answer->permits.version) {
+        m_lease.renew(requested);
+    }
+}
+
+promise_answer permit_holder::answerPromise(const promise_request &request, time_point now)
+{
+    adopt(request.permits, now);
+    promise_answer answer{false, m_permits.value_or(versioned_permits{})};
+    if (!ownEntry() || !m_lease.valid(now) || m_permits->version != request.permits.version) {
+        return answer;
+    }
+    const auto *predecessor = m_permits->record.predecessorOf(m_self);
+    const bool isTaker = predecessor && predecessor->node == request.holder && predecessor->started == request.started;
+    // A takeover, or the removal of this node, may have taken effect already.
+    const bool linkMayEnd = m_pending && (!m_pending->permits.record.find(request.holder) || !m_pending->permits.record.find(m_self));
+    answer.granted = isTaker && !linkMayEnd;
+    if (answer.granted) {
+        m_taker.promised(now);
+    }
+    return answer;
+}
+
+void permit_holder::adopt(const versioned_permits &permits, time_point now)
+{
+    if (m_permits && permits.version <= m_permits->version) {
+        return;
+    }
+    const bool wasHolder = ownEntry();
+    m_permits = permits;
+    bool byTakeover = false;
+    if (m_pending && m_pending->permits.version < permits.version) {
+        // The pending write has taken effect or never will.
+        byTakeover = m_pending->kind == change_kind::take_over || m_pending->kind == change_kind::reclaim;
+        m_pending.reset();
+    }
+    const auto *own = ownEntry();
+    if (!own || !wasHolder) {
+        m_lease.drop();
+    }
+    if (own) {
+        applyShare(now, byTakeover);
+    }
+    m_taker.observe(own ? m_permits->record.predecessorOf(m_self) : nullptr, now);
+}
+
+void permit_holder::applyShare(time_point now, bool byTakeover)
+{
+    const auto share = ownShareIn(m_permits->record);
+    if (byTakeover) {
+        m_lease.changeByTakeover(share, m_taker.usableFrom(now));
+    } else {
+        m_lease.change(share);
+    }
+}
+
+permit_share permit_holder::usable(time_point now) const
+{
+    auto share = m_lease.usable(now);
+    if (m_cap) {
+        share = smaller(share, *m_cap);
+    }
+    if (m_pending) {
+        // Either record may be in force.
+        share = smaller(share, ownShareIn(m_pending->permits.record));
+    }
+    return share;
+}
+
+const permit_entry *permit_holder::ownEntry() const
+{
+    const auto *entry = m_permits ? m_permits->record.find(m_self) : nullptr;
+    return entry && entry->started == m_started ? entry : nullptr;
+}
+
+permit_share permit_holder::ownShareIn(const permit_record &record) const
+{
+    const auto *entry = record.find(m_self);
+    return entry && entry->started == m_started ? entry->share : permit_share{};
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/permit_rebalancing.cpp
@@ -0,0 +1,127 @@
+#include "policy/permit_rebalancing.h"
+
+#include <algorithm>
+
+#include "policy/placement.h"
+
+namespace snipefall {
+
+namespace {
+
+using share_table = std::map<node_id, permit_share>;
+
+bool isLive(const permit_surroundings &around, const permit_entry &entry)
+{
+    const auto found = around.cluster->live.find(entry.node);
+    return found != around.cluster->live.end() && found->second == entry.started;
+}
+
+permit_share shareIn(const share_table &targets, const node_id &node)
+{
+    const auto found = targets.find(node);
+    return found == targets.end() ? permit_share{} : found->second;
+}
+
+/** Only the first live node of the ring inserts and resizes, which keeps conflicting writes rare. */
+bool isFirstLive(const node_id &self, const permit_record &record, const permit_surroundings &around)
+{
+    for (const auto &entry : record.ring()) {
+        if (entry.node == self) {
+            return true;
+        }
+        if (isLive(around, entry)) {
+            return false;
+        }
+    }
+    return false;
+}
+
+std::optional<permit_record> insertion(const node_id &self, const permit_record &record, const permit_surroundings &around)
+{
+    for (const auto &member : around.placed) {
+        if (!record.find(member.id)) {
+            return record.withStandby(self, {member.id, member.started, {}});
+        }
+    }
+    return std::nullopt;
+}
+
+std::optional<permit_record> resizing(const permit_entry &own, const permit_record &record, const permit_share &limit)
+{
+    const auto total = record.total();
+    const auto share = (own.share + (limit - total)) - (total - limit);
+    if (share == own.share) {
+        return std::nullopt;
+    }
+    return record.withShare(own.node, share);
+}
+
+std::optional<permit_record> handOver(const permit_entry &own, const permit_record &record, const permit_surroundings &around, const share_table &targets)
+{
+    const auto excess = own.share - shareIn(targets, own.node);
+    for (const auto &entry : record.ring()) {
+        if (entry.node == own.node || !isLive(around, entry)) {
+            continue;
+        }
+        const auto amount = smaller(excess, shareIn(targets, entry.node) - entry.share);
+        if (!amount.empty()) {
+            return record.withHandOver(own.node, entry.node, amount);
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::map<node_id, permit_share> targetShares(const permit_surroundings &around)
+{
+    const auto &placed = around.placed;
+    const auto holders = static_cast<std::uint32_t>(std::min(holderCount(around.limit.slots), placed.size()));
+    share_table targets;
+    for (std::uint32_t i = 0; i < placed.size(); ++i) {
+        permit_share share;
+        if (i < holders) {
+            share.slots = around.limit.slots / holders + (i < around.limit.slots % holders ? 1 : 0);
+            share.connections = around.limit.connections / holders + (i < around.limit.connections % holders ? 1 : 0);
+        }
+        targets.emplace(placed[i].id, share);
+    }
+    return targets;
+}
+
+permit_record initialRecord(const permit_surroundings &around)
+{
+    const auto targets = targetShares(around);
+    std::vector<permit_entry> ring;
+    for (const auto &member : around.placed) {
+        ring.push_back({member.id, member.started, shareIn(targets, member.id)});
+    }
+    return {1, std::move(ring)};
+}
+
+std::optional<permit_record> voluntaryChange(const node_id &self, const permit_record &record, const permit_surroundings &around)
+{
+    const auto *own = record.find(self);
+    if (!own) {
+        return std::nullopt;
+    }
+    const auto targets = targetShares(around);
+    if (isFirstLive(self, record, around)) {
+        if (auto inserted = insertion(self, record, around)) {
+            return inserted;
+        }
+        if (auto resized = resizing(*own, record, around.limit)) {
+            return resized;
+        }
+    }
+    if (auto given = handOver(*own, record, around, targets)) {
+        return given;
+    }
+    const bool placedAllPresent = std::all_of(targets.begin(), targets.end(), [&record](const auto &target) { return record.find(target.first); });
+    if (own->share.empty() && !targets.contains(self) && !targets.empty() && placedAllPresent) {
+        return record.without(self);
+    }
+    return std::nullopt;
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/permit_taker.cpp
@@ -0,0 +1,30 @@
+#include "policy/permit_taker.h"
+
+#include "policy/permit_lease.h"
+
+namespace snipefall {
+
+void permit_taker::observe(const permit_entry *predecessor, time_point now)
+{
+    if (!predecessor) {
+        m_predecessor.reset();
+        return;
+    }
+    const link current{predecessor->node, predecessor->started};
+    if (m_predecessor != current) {
+        m_predecessor = current;
+        m_since = now;
+    }
+}
+
+bool permit_taker::mayTakeOver(time_point now) const
+{
+    return m_predecessor && now - m_since >= LEASE_TIME + LEASE_MARGIN;
+}
+
+time_point permit_taker::usableFrom(time_point confirmed) const
+{
+    return std::max(confirmed, m_lastPromise) + LEASE_TIME + LEASE_MARGIN;
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/tests/policy/test_permits.cpp
@@ -0,0 +1,159 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "tests/policy/permit_world.h"
+
+using namespace snipefall;
+using std::chrono::seconds;
+
+namespace {
+
+const permit_world_options WORLDS[] = {
+    {"two slots between two nodes", 2, 2, {2, 25}},
+    {"two slots, five nodes in four domains", 5, 4, {2, 25}},
+    {"one slot, three nodes", 3, 3, {1, 10}},
+    {"six slots, seven nodes in three domains", 7, 3, {6, 50}},
+};
+
+constexpr std::uint64_t FIRST_SEED = 7001;
+constexpr int RUNS = 150;
+
+/** One holder that is driven by hand; the other node of its ring is named "other". */
+struct driven_holder
+{
+    permit_holder holder{node_id("self"), incarnation(5)};
+    permit_surroundings around{nullptr, {{node_id("self"), incarnation(5), {}, 1.0, {}}}, {2, 20}, {}};
+    versioned_permits permits{object_version(3), {3, {{node_id("other"), incarnation(4), {1, 10}}, {node_id("self"), incarnation(5), {1, 10}}}}};
+
+    explicit driven_holder(bool otherLives)
+    {
+        cluster_view view{{{node_id("self"), incarnation(5)}}, {}};
+        if (otherLives) {
+            view.live.emplace(node_id("other"), incarnation(4));
+            around.placed.push_back({node_id("other"), incarnation(4), {}, 1.0, {}});
+        }
+        around.cluster = std::make_shared<const cluster_view>(view);
+    }
+
+    /** Ticks until @p end with a platform that answers each read at once; gives the first write. */
+    std::optional<write_permits> driveUntil(time_point end)
+    {
+        for (; now <= end; now += std::chrono::milliseconds(100)) {
+            for (const auto &action : holder.tick(now, around)) {
+                if (const auto *read = std::get_if<read_permits>(&action)) {
+                    holder.readAnswered(read->operation, now, permits);
+                } else if (const auto *write = std::get_if<write_permits>(&action)) {
+                    return *write;
+                }
+            }
+        }
+        return std::nullopt;
+    }
+
+    bool promises(incarnation asker, object_version version) { return holder.answerPromise({node_id("other"), asker, {version, permits.record}}, now).granted; }
+
+    time_point now{seconds(100)};
+};
+
+const char *const MALFORMED[] = {
+    "",
+    "[]",
+    R"({"epoch":1,"ring":[]})",
+    R"({"epoch":0,"ring":[{"node":"a","incarnation":1,"slots":1,"connections":1}]})",
+    R"({"epoch":1,"ring":[{"node":"a","incarnation":1,"slots":-1,"connections":1}]})",
+    R"({"epoch":1,"ring":[{"node":"a","incarnation":1,"slots":1,"connections":1},{"node":"a","incarnation":2,"slots":1,"connections":1}]})",
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(permit_tests)
+
+// Guards against more use of a backend server than its limit at any moment, and against shares that stay unused after the faults have ended.
+// Two faults start together every 6 s: outages, slowness and lost answers of the platform, lost messages, splits, pauses, restarts, kills, replaced
+// nodes and false suspicions.
+BOOST_DATA_TEST_CASE(limitHoldsUnderFaults, WORLDS)
+{
+    duration slowest{};
+    std::uint64_t changes = 0;
+    for (std::uint64_t seed = FIRST_SEED; seed < FIRST_SEED + RUNS; ++seed) {
+        permit_world world(sample, seed);
+        for (int round = 0; round < 20; ++round) {
+            world.injectFault();
+            world.injectFault();
+            world.run(seconds(6));
+        }
+        world.endFaults();
+        duration recovery{};
+        while (world.usableNow() != sample.limit && recovery < seconds(30)) {
+            world.run(std::chrono::milliseconds(100));
+            recovery += std::chrono::milliseconds(100);
+        }
+        slowest = std::max(slowest, recovery);
+        changes += world.changes();
+        BOOST_TEST_INFO("seed " << seed << ", used " << world.highest().slots << " slots, " << world.highest().connections << " connections");
+        BOOST_REQUIRE(sample.limit.covers(world.highest()));
+        BOOST_TEST_INFO("seed " << seed << ", usable " << world.usableNow().slots << " slots, " << world.usableNow().connections << " connections");
+        BOOST_REQUIRE(world.usableNow() == sample.limit);
+    }
+    BOOST_TEST_MESSAGE(sample << ": " << changes << " changes of the record in " << RUNS << " runs, slowest recovery after the faults "
+                              << std::chrono::duration_cast<std::chrono::milliseconds>(slowest).count() << " ms");
+}
+
+// Guards against a service that stops when the platform is away although all holders live, and against shares that move without need.
+BOOST_DATA_TEST_CASE(promisesBridgeAnOutage, WORLDS)
+{
+    permit_world world(sample, FIRST_SEED);
+    world.run(seconds(10));
+    BOOST_REQUIRE(world.usableNow() == sample.limit);
+    world.setPlatformDown(true);
+    for (int second = 0; second < 120; ++second) {
+        world.run(seconds(1));
+        BOOST_REQUIRE(world.usableNow() == sample.limit);
+    }
+    BOOST_TEST(world.changes() == 1U);
+}
+
+// Guards against a promise after which the taker may still use the share: to an earlier incarnation, for another version of the record, after the
+// takeover was sent, or by a taker whose own lease has ended.
+BOOST_AUTO_TEST_CASE(promisesAreRefused)
+{
+    driven_holder taker(true);
+    BOOST_TEST(!taker.promises(incarnation(4), object_version(3)));
+    BOOST_TEST(!taker.driveUntil(taker.now + seconds(7)).has_value());
+    BOOST_TEST(taker.promises(incarnation(4), object_version(3)));
+    BOOST_TEST(!taker.promises(incarnation(3), object_version(3)));
+    BOOST_TEST(!taker.promises(incarnation(4), object_version(2)));
+    taker.now = taker.holder.usableUntil();
+    BOOST_TEST(!taker.promises(incarnation(4), object_version(3)));
+
+    driven_holder successor(false);
+    BOOST_REQUIRE(successor.driveUntil(successor.now + seconds(7)).has_value());
+    BOOST_TEST(!successor.promises(incarnation(4), object_version(3)));
+}
+
+// Guards against use of a share one microsecond after its lease, and of a taken share before the lease and the margin have passed.
+BOOST_AUTO_TEST_CASE(leaseAndTakeoverEndExactly)
+{
+    driven_holder taker(false);
+    const auto write = taker.driveUntil(taker.now + seconds(7));
+    BOOST_REQUIRE(write.has_value());
+    BOOST_TEST((taker.now >= time_point(seconds(100)) + LEASE_TIME + LEASE_MARGIN));
+    const auto sent = taker.now;
+    const auto confirmed = sent + std::chrono::milliseconds(300);
+    taker.holder.writeAnswered(write->operation, confirmed, object_version(4));
+    BOOST_TEST(taker.holder.usable(sent + LEASE_TIME - duration(1)).slots == 1U);
+    BOOST_TEST(taker.holder.usable(sent + LEASE_TIME).slots == 0U);
+    taker.permits = {object_version(4), write->permits.record};
+    taker.driveUntil(confirmed + LEASE_TIME + LEASE_MARGIN - duration(1));
+    const auto usableFrom = confirmed + LEASE_TIME + LEASE_MARGIN;
+    BOOST_TEST(taker.holder.usable(usableFrom - duration(1)).slots == 1U);
+    BOOST_TEST(taker.holder.usable(usableFrom).slots == 2U);
+}
+
+// Guards against records that a node cannot read back or that it misreads.
+BOOST_DATA_TEST_CASE(malformedRecordsAreRefused, MALFORMED)
+{
+    BOOST_TEST(!permit_record::fromJson(sample));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
