Move traffic between versions by evidence and one record

Record: moves/<service> is checked on decoding; the history must match the state, and nothing follows a rollback. A driver never repeats a write; after any failure it reads the record and decides anew, so a lost answer needs no special case.

Test: a likelihood ratio conditional on the number of events. With equal rates each event belongs to the new version with the probability of its share of the answers, so no baseline rate has to be assumed, and the ratio (averaged over rate ratios 1.5 to 64) may be looked at any number of times. A fixed-sample Wilson bound with alpha spending was ruled out: its looks must be planned, and traffic is not known beforehand. Latency is compared by the shares of answers above the old version's p75 and p95, with one histogram bucket (1.19) of tolerance.

Deadline: a finish is decided only until 4 s before the deadline (clocks 0.5 s apart at both ends, and up to 3 s for a write to land), because a node that reads an unfinished record after the deadline calls it rolled back.

Each node's fault detector tests 2 s, 10 s and the whole step against the old version at the time, or against an earlier baseline at 100%.

--- /dev/null
+++ b/policy/fault_detector.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <array>
+#include <map>
+#include <optional>
+#include <string>
+
+#include "core/clock.h"
+#include "policy/bad_version_fact.h"
+#include "policy/move_observations.h"
+#include "policy/move_record.h"
+#include "policy/sub_answer_sample.h"
+
+namespace snipefall {
+
+/**
+ * Counts this node's own sub-answers during one move and finds a bad new version within about a second of traffic.
+ *
+ * It needs no platform and no peers. Its threshold is far stricter than the one of move_controller, because every node tests on its own several times
+ * a second; small faults are left to the controller, which sees the answers of all nodes. Not thread-safe.
+ */
+class fault_detector
+{
+public:
+    explicit fault_detector(const move_record &record);
+
+    /** Starts a new step when the share differs from the current one. */
+    void setShare(std::uint32_t sharePercent);
+    void record(const sub_answer_sample &sample);
+    /** The finding, once there is one; it stays for the life of the detector. Meant to be called about every 100 ms. */
+    const std::optional<bad_version_fact> &check(time_point now);
+    /** This node's counts for move_controller, alone or merged with those of peers. */
+    move_observations observations(time_point now) const;
+
+private:
+    static constexpr std::size_t SLICES = 10; ///< Slices of one second.
+    struct slice
+    {
+        std::int64_t second = -1;
+        route_counts counts;
+    };
+    struct route_state
+    {
+        std::array<slice, SLICES> slices;
+        version_counts oldEarlier; ///< The old version at earlier shares, as baseline when it gets little traffic.
+        route_counts step;
+    };
+
+    static void add(route_state &state, const sub_answer_sample &sample);
+    static route_counts window(const route_state &state, time_point now, std::int64_t seconds);
+    static version_counts baseline(const route_state &state);
+    /** Counts of a window; the old version's are its baseline when the window has too few. */
+    static route_counts comparable(const route_state &state, time_point now, std::int64_t seconds);
+
+    service_id m_service;
+    version_id m_to;
+    std::string m_moveId;
+    std::uint32_t m_sharePercent;
+    std::map<std::string, route_state> m_routes;
+    std::optional<bad_version_fact> m_found;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/latency_histogram.cpp
@@ -0,0 +1,65 @@
+#include "policy/latency_histogram.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace snipefall {
+
+namespace {
+
+constexpr double LOWEST_EDGE_US = 250;
+constexpr double BUCKETS_PER_OCTAVE = 4;
+
+} // namespace
+
+std::size_t latency_histogram::bucketOf(duration latency)
+{
+    const auto us = static_cast<double>(latency.count());
+    if (us < LOWEST_EDGE_US) {
+        return 0;
+    }
+    return std::min(BUCKETS - 1, 1 + static_cast<std::size_t>(BUCKETS_PER_OCTAVE * std::log2(us / LOWEST_EDGE_US)));
+}
+
+duration latency_histogram::upperEdge(std::size_t bucket)
+{
+    return duration(std::llround(LOWEST_EDGE_US * std::exp2(static_cast<double>(bucket) / BUCKETS_PER_OCTAVE)));
+}
+
+void latency_histogram::add(duration latency)
+{
+    ++m_counts[bucketOf(latency)];
+    ++m_total;
+}
+
+void latency_histogram::merge(const latency_histogram &other)
+{
+    for (std::size_t i = 0; i < BUCKETS; ++i) {
+        m_counts[i] += other.m_counts[i];
+    }
+    m_total += other.m_total;
+}
+
+std::size_t latency_histogram::quantileBucket(double quantile) const
+{
+    const double wanted = quantile * static_cast<double>(m_total);
+    std::uint64_t seen = 0;
+    for (std::size_t i = 0; i < BUCKETS; ++i) {
+        seen += m_counts[i];
+        if (static_cast<double>(seen) >= wanted) {
+            return i;
+        }
+    }
+    return BUCKETS - 1;
+}
+
+std::uint64_t latency_histogram::above(std::size_t bucket) const
+{
+    std::uint64_t count = 0;
+    for (std::size_t i = bucket + 1; i < BUCKETS; ++i) {
+        count += m_counts[i];
+    }
+    return count;
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/move_controller.cpp
@@ -0,0 +1,153 @@
+#include "policy/move_controller.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include <fmt/format.h>
+
+#include "policy/version_comparison.h"
+
+namespace snipefall {
+
+namespace {
+
+constexpr std::array<std::uint32_t, 5> SHARES_PERCENT{5, 10, 25, 50, 100};
+constexpr std::uint32_t FULL_SHARE_PERCENT = 100;
+/** Probability that a good version is rolled back by chance during the whole move. */
+constexpr double SIGNIFICANCE = 0.01;
+/** A move has up to 6 steps and the observation period, each tested on its total and on its recent window. */
+constexpr double TESTS_PER_MOVE = 14;
+/** Evidence of ln(10) or more is no proof of a fault, but the share doesn't grow on it. */
+constexpr double HOLD_LOG_EVIDENCE = 2.3;
+/** A step with this many answers of the new version is judged at once. */
+constexpr std::uint64_t WANTED_STEP_ANSWERS = 300;
+/** Below this, no step is judged; with it, a step is judged when its part of the time is used up. */
+constexpr std::uint64_t MIN_STEP_ANSWERS = 20;
+constexpr std::uint64_t SHORTEST_STEP_MS = 1'000;
+constexpr std::uint64_t LONGEST_MIN_STEP_MS = 5'000;
+constexpr std::uint64_t STEPS_PER_MOVE_TIME = 40;
+/** Servers that are still cold after this time are judged like warm ones. */
+constexpr std::uint64_t MAX_WARM_UP_MS = 15'000;
+
+std::uint64_t elapsed(std::uint64_t sinceMs, std::uint64_t nowMs)
+{
+    return nowMs > sinceMs ? nowMs - sinceMs : 0;
+}
+
+comparison_evidence strongestEvidence(const move_observations &observations)
+{
+    const comparison_evidence step = compareRoutes(observations.step);
+    const comparison_evidence recent = compareRoutes(observations.recent);
+    return recent.logEvidence > step.logEvidence ? recent : step;
+}
+
+double rollbackThreshold(const move_observations &observations)
+{
+    const auto comparisons = static_cast<double>(std::max<std::size_t>(1, observations.step.size()));
+    return std::log(TESTS_PER_ROUTE * comparisons * TESTS_PER_MOVE / SIGNIFICANCE);
+}
+
+move_decision writeStep(const move_input &input, move_action action, move_state state, std::uint32_t sharePercent, std::string reason)
+{
+    move_decision decision;
+    decision.action = action;
+    decision.expected = input.version;
+    decision.record = input.record;
+    decision.record.state = state;
+    decision.record.sharePercent = sharePercent;
+    decision.record.stepStartedMs = input.nowMs;
+    decision.record.steps.push_back({state, sharePercent, input.nowMs});
+    if (action == move_action::roll_back) {
+        decision.record.reason = reason;
+    }
+    decision.reason = std::move(reason);
+    return decision;
+}
+
+move_decision rollBack(const move_input &input, std::string reason)
+{
+    return writeStep(input, move_action::roll_back, move_state::rolled_back, 0, std::move(reason));
+}
+
+move_decision waitFor(std::string reason)
+{
+    move_decision decision;
+    decision.reason = std::move(reason);
+    return decision;
+}
+
+/** What the move waits for before its next step; empty when it may go on. */
+std::string obstacle(const move_input &input, const comparison_evidence &evidence)
+{
+    const move_record &record = input.record;
+    const std::uint64_t inStep = elapsed(record.stepStartedMs, input.nowMs);
+    if (input.warmUp.servers == 0) {
+        return "no live backend server of the new version";
+    }
+    if (input.warmUp.coldServers > 0 && elapsed(record.startedMs, input.nowMs) < MAX_WARM_UP_MS) {
+        return fmt::format("{} of {} backend servers are in slow start", input.warmUp.coldServers, input.warmUp.servers);
+    }
+    const std::uint64_t answers = input.observations.newAnswers();
+    if (answers < MIN_STEP_ANSWERS) {
+        return fmt::format("too few samples: {} of at least {} answers of the new version at {}%", answers, MIN_STEP_ANSWERS, record.sharePercent);
+    }
+    const std::uint64_t moveMs = record.deadlineMs - record.startedMs;
+    if (inStep < std::clamp(moveMs / STEPS_PER_MOVE_TIME, SHORTEST_STEP_MS, LONGEST_MIN_STEP_MS)) {
+        return "shortest time of a step";
+    }
+    const auto stepsLeft = std::count_if(SHARES_PERCENT.begin(), SHARES_PERCENT.end(), [&](auto share) { return share > record.sharePercent; }) + 1;
+    const std::uint64_t timeOfStep = elapsed(record.stepStartedMs, record.deadlineMs - DONE_MARGIN_MS) / static_cast<std::uint64_t>(stepsLeft + 1);
+    if (answers < WANTED_STEP_ANSWERS && inStep < timeOfStep) {
+        return fmt::format("{} of {} answers of the new version at {}%", answers, WANTED_STEP_ANSWERS, record.sharePercent);
+    }
+    if (evidence.logEvidence >= HOLD_LOG_EVIDENCE) {
+        return "possible fault, more samples are needed: " + evidence.finding;
+    }
+    return {};
+}
+
+move_decision advance(const move_input &input)
+{
+    const auto next = std::upper_bound(SHARES_PERCENT.begin(), SHARES_PERCENT.end(), input.record.sharePercent);
+    if (next == SHARES_PERCENT.end()) {
+        return writeStep(input, move_action::finish, move_state::done, FULL_SHARE_PERCENT, "all steps passed");
+    }
+    return writeStep(input, move_action::grow, move_state::growing, *next, fmt::format("step at {}% passed", input.record.sharePercent));
+}
+
+} // namespace
+
+move_decision move_controller::decide(const move_input &input) const
+{
+    const move_record &record = input.record;
+    if (record.isFinal(input.nowMs)) {
+        return waitFor("the move is over");
+    }
+    for (const bad_version_fact &fact : input.facts) {
+        if (fact.moveId == record.moveId && fact.service == record.service && fact.version == record.to) {
+            return rollBack(input, "bad version: " + fact.reason);
+        }
+    }
+    const bool current = input.observations.moveId == record.moveId && input.observations.sharePercent == record.sharePercent;
+    move_input judged = input;
+    if (!current) {
+        judged.observations = {record.moveId, record.sharePercent, {}, {}};
+    }
+    const comparison_evidence evidence = strongestEvidence(judged.observations);
+    if (evidence.logEvidence >= rollbackThreshold(judged.observations)) {
+        move_decision decision = rollBack(input, evidence.finding);
+        decision.fact = bad_version_fact{record.service, record.to, record.moveId, evidence.finding};
+        return decision;
+    }
+    if (record.state == move_state::done) {
+        return waitFor("observation period");
+    }
+    const std::string reason = obstacle(judged, evidence);
+    if (input.nowMs + DONE_MARGIN_MS >= record.deadlineMs) {
+        return rollBack(input, fmt::format("not done in time for the deadline: {}", reason.empty() ? "steps are left" : reason));
+    }
+    return reason.empty() ? advance(judged) : waitFor(reason);
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/move_observations.cpp
@@ -0,0 +1,31 @@
+#include "policy/move_observations.h"
+
+namespace snipefall {
+
+namespace {
+
+void mergeRoutes(counts_by_route &into, const counts_by_route &from)
+{
+    for (const auto &[route, counts] : from) {
+        into[route].merge(counts);
+    }
+}
+
+} // namespace
+
+void move_observations::merge(const move_observations &other)
+{
+    if (other.moveId != moveId || other.sharePercent != sharePercent) {
+        return;
+    }
+    mergeRoutes(step, other.step);
+    mergeRoutes(recent, other.recent);
+}
+
+std::uint64_t move_observations::newAnswers() const
+{
+    const auto all = step.find(ALL_ROUTES);
+    return all == step.end() ? 0 : all->second.newVersion.answers;
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/version_comparison.cpp
@@ -0,0 +1,115 @@
+#include "policy/version_comparison.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+#include <fmt/format.h>
+
+namespace snipefall {
+
+namespace {
+
+constexpr std::array<double, 5> RATE_RATIOS{1.5, 2, 4, 16, 64};
+/** An error rate that is higher by less than this is no fault, whatever its significance. */
+constexpr double MIN_ERROR_INCREASE = 0.003;
+/** Without a baseline the old version is taken to have had 1 error in 100 answers, so that gross faults still show. */
+constexpr std::uint64_t MIN_BASELINE_ANSWERS = 20;
+constexpr std::uint64_t ASSUMED_BASELINE_ANSWERS = 100;
+constexpr std::uint64_t ASSUMED_BASELINE_ERRORS = 1;
+/** The old version's quantiles are too uncertain with fewer samples. */
+constexpr std::uint64_t MIN_LATENCY_SAMPLES = 50;
+constexpr std::array<double, TESTS_PER_ROUTE - 1> LATENCY_QUANTILES{0.75, 0.95};
+/** Latency may grow by one bucket (factor 1.19) and by at least this much, because jitter dominates short latencies. */
+constexpr duration MIN_LATENCY_INCREASE{1000};
+
+double rate(std::uint64_t events, std::uint64_t total)
+{
+    return total == 0 ? 0.0 : static_cast<double>(events) / static_cast<double>(total);
+}
+
+void raise(comparison_evidence &strongest, double evidence, auto &&describe)
+{
+    if (evidence > strongest.logEvidence) {
+        strongest.logEvidence = evidence;
+        strongest.finding = describe();
+    }
+}
+
+void compareErrors(const version_counts &oldCounts, const version_counts &newCounts, comparison_evidence &strongest)
+{
+    const bool hasBaseline = oldCounts.answers >= MIN_BASELINE_ANSWERS;
+    const std::uint64_t oldErrors = hasBaseline ? oldCounts.errors : ASSUMED_BASELINE_ERRORS;
+    const std::uint64_t oldAnswers = hasBaseline ? oldCounts.answers : ASSUMED_BASELINE_ANSWERS;
+    const double oldRate = rate(oldErrors, oldAnswers);
+    const double newRate = rate(newCounts.errors, newCounts.answers);
+    if (newRate - oldRate < MIN_ERROR_INCREASE) {
+        return;
+    }
+    raise(strongest, rateIncreaseEvidence(oldErrors, oldAnswers, newCounts.errors, newCounts.answers), [&] {
+        return fmt::format("error rate {:.4f} against {:.4f} in {} and {} answers", newRate, oldRate, newCounts.answers, oldAnswers);
+    });
+}
+
+void compareLatency(const latency_histogram &oldLatency, const latency_histogram &newLatency, double quantile, comparison_evidence &strongest)
+{
+    if (oldLatency.total() < MIN_LATENCY_SAMPLES) {
+        return;
+    }
+    const std::size_t oldBucket = oldLatency.quantileBucket(quantile);
+    const duration oldEdge = latency_histogram::upperEdge(oldBucket);
+    const std::size_t newBucket = std::max(oldBucket + 1, latency_histogram::bucketOf(oldEdge + MIN_LATENCY_INCREASE));
+    const std::uint64_t newAbove = newLatency.above(newBucket);
+    raise(strongest, rateIncreaseEvidence(oldLatency.above(oldBucket), oldLatency.total(), newAbove, newLatency.total()), [&] {
+        return fmt::format("{:.3f} of the latencies above {} us against {:.3f} above {} us in {} and {} answers",
+                           rate(newAbove, newLatency.total()),
+                           latency_histogram::upperEdge(newBucket).count(),
+                           rate(oldLatency.above(oldBucket), oldLatency.total()),
+                           oldEdge.count(),
+                           newLatency.total(),
+                           oldLatency.total());
+    });
+}
+
+} // namespace
+
+double rateIncreaseEvidence(std::uint64_t oldEvents, std::uint64_t oldTotal, std::uint64_t newEvents, std::uint64_t newTotal)
+{
+    if (oldTotal == 0 || newTotal == 0 || newEvents == 0) {
+        return 0;
+    }
+    const double newShare = static_cast<double>(newTotal) / static_cast<double>(oldTotal + newTotal);
+    const auto events = static_cast<double>(oldEvents + newEvents);
+    std::array<double, RATE_RATIOS.size()> logs{};
+    std::transform(RATE_RATIOS.begin(), RATE_RATIOS.end(), logs.begin(), [&](double ratio) {
+        return static_cast<double>(newEvents) * std::log(ratio) - events * std::log1p((ratio - 1) * newShare);
+    });
+    const double highest = *std::max_element(logs.begin(), logs.end());
+    double sum = 0;
+    for (const double log : logs) {
+        sum += std::exp(log - highest);
+    }
+    return highest + std::log(sum / static_cast<double>(logs.size()));
+}
+
+comparison_evidence compareVersions(const version_counts &oldCounts, const version_counts &newCounts)
+{
+    comparison_evidence strongest;
+    compareErrors(oldCounts, newCounts, strongest);
+    for (const double quantile : LATENCY_QUANTILES) {
+        compareLatency(oldCounts.latency, newCounts.latency, quantile, strongest);
+    }
+    return strongest;
+}
+
+comparison_evidence compareRoutes(const counts_by_route &routes)
+{
+    comparison_evidence strongest;
+    for (const auto &[route, counts] : routes) {
+        const comparison_evidence found = compareVersions(counts.oldVersion, counts.newVersion);
+        raise(strongest, found.logEvidence, [&, &name = route] { return fmt::format("route {}: {}", name, found.finding); });
+    }
+    return strongest;
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/version_router.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+
+#include "policy/bad_version_fact.h"
+#include "policy/move_outcome.h"
+#include "policy/move_record.h"
+
+namespace snipefall {
+
+/** Chooses the version of backend servers that serves a query of one service. Not thread-safe. */
+class version_router
+{
+public:
+    explicit version_router(service_id service);
+
+    /** Sets the record as last read; @p readable tells whether the platform answered last time. */
+    void setMove(std::optional<move_record> record, bool readable);
+    /** Keeps a fact; repeated facts and those of other services change nothing. A fact may arrive before the record of its move. */
+    void addFact(const bad_version_fact &fact);
+
+    /**
+     * The version that serves the query; @p configured when no move is known.
+     *
+     * @p queryHash is stableHash() of the request id, so that a repeated request meets the same version. A query that the new version serves at one share
+     * is served by it at every larger share.
+     */
+    version_id choose(std::uint64_t queryHash, std::uint64_t nowMs, const version_id &configured) const;
+    move_outcome outcome(std::uint64_t nowMs) const { return moveOutcome(m_record, m_readable, nowMs); }
+    /** The fact that stops the current move on this node, if any. */
+    std::optional<bad_version_fact> stoppedBy() const;
+
+private:
+    service_id m_service;
+    std::optional<move_record> m_record;
+    bool m_readable = false;
+    std::uint64_t m_moveHash = 0;
+    std::deque<bad_version_fact> m_facts;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/tests/policy/test_fault_detector.cpp
@@ -0,0 +1,144 @@
+#include <ostream>
+#include <random>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "core/crypto.h"
+#include "policy/fault_detector.h"
+#include "policy/version_comparison.h"
+#include "policy/version_router.h"
+#include "tests/policy/move_samples.h"
+
+using namespace snipefall;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct traffic_case
+{
+    const char *name;
+    std::uint32_t share;
+    double errorRate; ///< Of the new version from the fault on; the old one has 0.5%.
+    double latencyFactor;
+    bool warm;
+    bool oneRoute; ///< The fault shows on one of four routes only.
+    int faultAfterS;
+    int foundWithinS; ///< After the fault; 0: never found.
+};
+
+std::ostream &operator<<(std::ostream &out, const traffic_case &row)
+{
+    return out << row.name;
+}
+
+// At 200 sub-answers a second on this node, 10 of them from the new version at 5%.
+const traffic_case TRAFFIC_CASES[] = {
+    {"good", 5, 0.005, 1, true, false, 0, 0},
+    {"good at 50%", 50, 0.005, 1, true, false, 0, 0},
+    {"half of the answers fail", 5, 0.5, 1, true, false, 0, 2},
+    {"half of the answers fail at 100%", 100, 0.5, 1, true, false, 0, 1},
+    {"half of the answers fail after a good minute", 50, 0.5, 1, true, false, 60, 1},
+    {"all answers of one route fail", 25, 1, 1, true, true, 0, 2},
+    {"three times slower", 25, 0.005, 3, true, false, 0, 2},
+    {"slow while cold", 25, 0.005, 3, false, false, 0, 0},
+};
+
+struct rate_case
+{
+    std::uint64_t oldEvents;
+    std::uint64_t oldTotal;
+    std::uint64_t newEvents;
+    std::uint64_t newTotal;
+    bool strong;
+};
+
+std::ostream &operator<<(std::ostream &out, const rate_case &row)
+{
+    return out << row.newEvents << "/" << row.newTotal;
+}
+
+const rate_case RATE_CASES[] = {
+    {10, 2000, 1, 100, false},
+    {10, 2000, 8, 100, true},
+    {0, 0, 50, 100, false},
+    {0, 1000, 3, 50, true},
+    {1000, 2000, 50, 100, false},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fault_detector_tests)
+
+// Guards against a node that keeps sending to a bad version, and against one that stops a good version.
+BOOST_DATA_TEST_CASE(findsFaults, TRAFFIC_CASES)
+{
+    std::mt19937_64 random(20'260'101);
+    std::uniform_real_distribution<double> uniform;
+    std::lognormal_distribution<double> spread(0, 0.4);
+    fault_detector detector(sampleMove());
+    const auto serve = [&](int second, std::uint32_t share, bool faulty) {
+        for (int i = 0; i < 200; ++i) {
+            const bool isNew = uniform(random) * 100 < share;
+            const bool affected = isNew && faulty && (!sample.oneRoute || i % 4 == 0);
+            const double latencyUs = 20'000 * spread(random) * (affected ? sample.latencyFactor : 1);
+            detector.record({"/r" + std::to_string(i % 4),
+                             isNew,
+                             uniform(random) < (affected ? sample.errorRate : 0.005),
+                             !isNew || sample.warm,
+                             duration(static_cast<std::int64_t>(latencyUs)),
+                             time_point(std::chrono::seconds(second) + 5ms * i)});
+        }
+        return detector.check(time_point(std::chrono::seconds(second) + 999ms)).has_value();
+    };
+    int second = 0;
+    for (; second < 10; ++second) {
+        BOOST_TEST(!serve(second, 5, false));
+    }
+    detector.setShare(sample.share);
+    const int faultAt = second + sample.faultAfterS;
+    const int end = faultAt + (sample.foundWithinS > 0 ? sample.foundWithinS : 120);
+    bool found = false;
+    for (; second < end; ++second) {
+        found = serve(second, sample.share, second >= faultAt);
+        BOOST_TEST((second >= faultAt || !found));
+    }
+    BOOST_TEST(found == (sample.foundWithinS > 0));
+}
+
+// Guards the evidence against chance and against a missing baseline; ln(1000) is strong.
+BOOST_DATA_TEST_CASE(weighsRates, RATE_CASES)
+{
+    const double evidence = rateIncreaseEvidence(sample.oldEvents, sample.oldTotal, sample.newEvents, sample.newTotal);
+    BOOST_TEST((evidence >= 6.9) == sample.strong, evidence);
+}
+
+// Guards against a share above the step's, queries that flip between versions, and traffic after a fact.
+BOOST_AUTO_TEST_CASE(routesTheShare)
+{
+    const version_id newVersion("v2");
+    const version_id configured("v0");
+    version_router router(service_id("s"));
+    constexpr std::uint64_t queries = 20'000;
+    BOOST_CHECK(router.choose(1, SAMPLE_START_MS, configured) == configured);
+    std::vector<bool> before(queries, false);
+    for (const std::uint32_t share : {1U, 5U, 10U, 25U, 50U, 100U}) {
+        router.setMove(sampleMoveAt(move_state::growing, share, SAMPLE_START_MS + share), true);
+        std::uint64_t routed = 0;
+        for (std::uint64_t i = 0; i < queries; ++i) {
+            const bool toNew = router.choose(stableHash(std::to_string(i)), SAMPLE_START_MS + 200, configured) == newVersion;
+            BOOST_REQUIRE((toNew || !before[i]));
+            before[i] = toNew;
+            routed += toNew ? 1 : 0;
+        }
+        // Four standard deviations of the binomial distribution.
+        BOOST_TEST(std::abs(static_cast<double>(routed) - queries * share / 100.0) <= 4 * std::sqrt(queries * share * (100.0 - share)) / 100);
+    }
+    router.addFact({service_id("other"), newVersion, "m1", ""});
+    router.addFact({service_id("s"), newVersion, "m0", ""});
+    BOOST_CHECK(router.choose(1, SAMPLE_START_MS + 200, configured) == newVersion);
+    router.addFact({service_id("s"), newVersion, "m1", ""});
+    BOOST_CHECK(router.choose(1, SAMPLE_START_MS + 200, configured) == version_id("v1"));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
