--- /dev/null
+++ b/node/configuration_messages.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+#include "core/configuration_delta.h"
+#include "core/outcome.h"
+
+namespace snipefall {
+
+/** The payload of the answer to a configuration pull. */
+std::string encodeDelta(const configuration_delta &delta);
+outcome<configuration_delta> decodeDelta(const std::string &payload);
+
+} // namespace snipefall
--- /dev/null
+++ b/node/move_manager.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "blackboard/sharded_table.h"
+#include "core/ids.h"
+#include "core/json.h"
+#include "core/outcome.h"
+#include "platform/object.h"
+#include "policy/fact.h"
+#include "policy/fault_detector.h"
+#include "policy/move_decision.h"
+#include "policy/move_outcome.h"
+#include "policy/move_record.h"
+#include "policy/version_router.h"
+#include "policy/warm_up_state.h"
+
+namespace snipefall {
+
+class configuration_replica;
+class peer_controller;
+
+/**
+ * Moves traffic between versions: keeps each service's move record, chooses the version of each query, detects faults of the new version, and
+ * drives the record's state machine by conditional updates. Any node may drive any move.
+ */
+class move_manager
+{
+public:
+    struct platform_calls
+    {
+        std::function<outcome<std::vector<object>>(const std::string &prefix)> list;
+        std::function<outcome<object>(const std::string &key)> read;
+        std::function<outcome<object_version>(const std::string &key, const std::string &value, object_version expected)> write;
+    };
+    using warm_up_function = std::function<warm_up_state(const service_id &, const version_id &)>;
+    /** Told of each step that this node recorded. */
+    using step_callback = std::function<void(const move_record &)>;
+
+    move_manager(node_id self, const configuration_replica &replica, peer_controller &peers, platform_calls platform, warm_up_function warmUp);
+    ~move_manager();
+
+    void onStep(step_callback callback) { m_onStep = std::move(callback); }
+
+    /** Reads the records from the platform and drives the moves; to be called about every 500 ms. */
+    void step();
+    /** Looks for faults in this node's own traffic; to be called about every 100 ms. */
+    void detectFaults();
+
+    /** The version that serves a query. */
+    version_id versionFor(const service_id &service, const version_id &configured, const std::string &requestId) const;
+    void record(const service_id &service, const version_id &version, sub_answer_sample sample);
+    /** Takes a bad_version fact of a peer. */
+    void handleFact(const fact &news);
+
+    /** Starts a move; conflict if another one of the service is not yet final. */
+    outcome<move_record> start(const move_request &request);
+    /** Takes a move back on an operator's word. */
+    outcome<move_record> rollBack(const service_id &service, const std::string &author, const std::string &reason);
+    /** What this node may truthfully say of the service's move; null when it knows of none. */
+    json describe(const service_id &service) const;
+
+private:
+    struct service_move;
+
+    std::shared_ptr<service_move> moveOf(const service_id &service);
+    void adopt(const object &stored);
+    void drive(const service_id &service);
+    move_observations gather(const service_id &service, const move_record &record);
+    outcome<std::string> answerObservations(const std::string &payload) const;
+    outcome<move_record> writeRecord(const move_record &record, object_version expected);
+    void spread(const bad_version_fact &found);
+
+    const node_id m_self;
+    const configuration_replica &m_replica;
+    peer_controller &m_peers;
+    platform_calls m_platform;
+    warm_up_function m_warmUp;
+    step_callback m_onStep;
+    sharded_table<service_id, std::shared_ptr<service_move>> m_moves;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/node/peer_controller.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "core/ids.h"
+#include "core/outcome.h"
+#include "node/peer_messages.h"
+#include "peer/exchange_handler.h"
+#include "policy/cluster_view.h"
+#include "policy/fact.h"
+#include "policy/member.h"
+#include "policy/placement_member.h"
+
+namespace snipefall {
+
+class configuration_controller;
+class configuration_replica;
+class gossip_service;
+struct gossip_service_settings;
+struct node_settings;
+
+/** This node's side towards the other nodes: members, facts, and configurations that peers have and this node has not. */
+class peer_controller
+{
+public:
+    using fact_callback = std::function<void(const fact &)>;
+
+    peer_controller(const node_settings &settings, incarnation ownIncarnation, const configuration_replica &replica, configuration_controller &configurations);
+    ~peer_controller();
+
+    /** Registers the handler of an exchange; before start() only. */
+    void registerHandler(peer_exchange_kind kind, exchange_handler handler);
+    void onFact(fact_callback callback) { m_onFact = std::move(callback); }
+    std::string start();
+    void stop();
+
+    /** Pulls configurations from peers that are ahead. Runs on a controller thread, because an exchange waits for the peer. */
+    void pullConfigurations();
+    /** Called when a peer is known to be ahead; wakes the thread that runs pullConfigurations(). */
+    void onPullNeeded(std::function<void()> wake) { m_wakePull = std::move(wake); }
+
+    /** Tells peers of a version that this node put in force. @p committed spreads it at once, for the node that committed it. */
+    void announceConfiguration(config_version version, bool committed);
+    void publish(fact_kind kind, const std::string &key, const std::string &payload, duration lifetime);
+
+    outcome<std::string> exchange(const node_id &recipient, peer_exchange_kind kind, std::string payload, duration timeout);
+
+    /** All known members, this node included. */
+    std::vector<member> members() const;
+    /** The live nodes as placement sees them; draining ones have weight 0. */
+    std::vector<placement_member> placementMembers() const;
+    std::shared_ptr<const cluster_view> clusterView() const;
+    /** The node ids that the platform's VM list shows, for cluster_view::gone. */
+    void setListedNodes(std::set<node_id> listed);
+
+    /** Whether this node is one of the few of its failure domain that read the platform's configuration often. */
+    bool watchesPlatform() const;
+
+private:
+    struct pull_target
+    {
+        std::string address;
+        config_version version;
+    };
+
+    gossip_service_settings makeSettings() const;
+    outcome<std::string> answerPull(const std::string &payload) const;
+    void queuePull(const std::string &address, config_version version);
+    void handleFact(const fact &news);
+    std::optional<member> memberAt(const std::string &address) const;
+
+    const node_settings &m_settings;
+    const incarnation m_incarnation;
+    const configuration_replica &m_replica;
+    configuration_controller &m_configurations;
+    std::unique_ptr<gossip_service> m_gossip;
+    std::vector<std::pair<peer_exchange_kind, exchange_handler>> m_handlers;
+    fact_callback m_onFact;
+    std::function<void()> m_wakePull;
+    mutable std::mutex m_mutex;
+    std::deque<pull_target> m_pulls;
+    std::set<node_id> m_listedNodes;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/node/peer_messages.h
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "peer/message_kind.h"
+
+namespace snipefall {
+
+/** The exchanges between nodes; the values are part of the protocol. */
+enum class peer_exchange_kind : std::int16_t
+{
+    configuration_pull = static_cast<std::int16_t>(message_kind::first_exchange),
+    permit_promises = 101,
+    move_observations = 102,
+};
+
+constexpr message_kind toMessageKind(peer_exchange_kind kind)
+{
+    return static_cast<message_kind>(kind);
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/node/permit_controller.cpp
@@ -0,0 +1,293 @@
+#include "node/permit_controller.h"
+
+#include <algorithm>
+
+#include "core/configuration_replica.h"
+#include "core/json.h"
+#include "core/logger.h"
+#include "node/peer_controller.h"
+#include "policy/cluster_view.h"
+#include "policy/permit_holder.h"
+#include "policy/placement.h"
+
+namespace snipefall {
+
+namespace {
+
+constexpr const char *KEY_PREFIX = "permits/";
+constexpr duration PROMISE_TIMEOUT = std::chrono::milliseconds(800);
+// Membership raises a node's start time by one for each refutation of a suspicion, the permit record keeps the first one. A restarted process
+// differs by far more than this.
+constexpr std::uint64_t MAX_REFUTATIONS = 1000;
+
+json toJson(const versioned_permits &permits)
+{
+    return {{"version", permits.version.value()}, {"record", json::parse(permits.record.toJson(), nullptr, false)}};
+}
+
+outcome<versioned_permits> parsePermits(const json &document)
+{
+    versioned_permits permits;
+    permits.version = object_version(jsonValue<std::uint64_t>(document, "version", 0));
+    if (permits.version.value() == 0) {
+        return permits;
+    }
+    outcome<permit_record> record = permit_record::fromJson(document.value("record", json()).dump());
+    if (!record) {
+        return record.reason();
+    }
+    permits.record = std::move(record).value();
+    return permits;
+}
+
+} // namespace
+
+struct permit_controller::service_entry
+{
+    service_entry(node_id self, incarnation started)
+        : holder(std::move(self), started)
+    {
+    }
+
+    mutable std::mutex mutex;
+    permit_holder holder;
+    permit_share lastUsable;
+};
+
+struct permit_controller::pending_read
+{
+    service_id service;
+    std::shared_ptr<service_entry> entry;
+    std::uint64_t operation = 0;
+};
+
+struct permit_controller::pending_promise
+{
+    service_id service;
+    std::shared_ptr<service_entry> entry;
+    ask_promise action;
+};
+
+permit_controller::permit_controller(
+    node_id self, incarnation ownIncarnation, const configuration_replica &replica, peer_controller &peers, platform_calls platform, usage_function usage)
+    : m_self(std::move(self))
+    , m_incarnation(ownIncarnation)
+    , m_replica(replica)
+    , m_peers(peers)
+    , m_platform(std::move(platform))
+    , m_usage(std::move(usage))
+{
+    m_peers.registerHandler(peer_exchange_kind::permit_promises, [this](const peer_message &request) { return answerPromises(request.payload); });
+}
+
+permit_controller::~permit_controller() = default;
+
+std::shared_ptr<permit_controller::service_entry> permit_controller::entryOf(const service_id &service)
+{
+    return m_services.update(service, [this](std::shared_ptr<service_entry> &entry) {
+        if (!entry) {
+            entry = std::make_shared<service_entry>(m_self, m_incarnation);
+        }
+        return entry;
+    });
+}
+
+permit_share permit_controller::usable(const service_id &service) const
+{
+    const auto entry = m_services.find(service);
+    if (!entry || !*entry) {
+        return {};
+    }
+    const std::lock_guard lock((*entry)->mutex);
+    return (*entry)->holder.usable(system_clock().now());
+}
+
+std::vector<std::string> permit_controller::holderAddresses(const service_id &service) const
+{
+    std::vector<std::string> addresses;
+    std::vector<permit_entry> ring;
+    if (const auto entry = m_services.find(service); entry && *entry) {
+        const std::lock_guard lock((*entry)->mutex);
+        if ((*entry)->holder.permits()) {
+            ring = (*entry)->holder.permits()->record.ring();
+        }
+    }
+    const std::vector<placement_member> members = m_peers.placementMembers();
+    for (const permit_entry &holder : ring) {
+        const auto found = std::find_if(members.begin(), members.end(), [&holder](const placement_member &peer) { return peer.id == holder.node; });
+        if (found != members.end() && holder.node != m_self && holder.share.slots > 0) {
+            addresses.push_back(found->callerAddress);
+        }
+    }
+    // Without a record, for example on a node that never had a part in the service, the placement names the nodes that should hold the permits.
+    if (addresses.empty()) {
+        for (const placement_member &placed : placeService(service, members, MAX_HOLDERS)) {
+            if (placed.id != m_self) {
+                addresses.push_back(placed.callerAddress);
+            }
+        }
+    }
+    return addresses;
+}
+
+void permit_controller::step()
+{
+    std::vector<pending_read> reads;
+    std::map<node_id, std::vector<pending_promise>> promises;
+    tickServices(reads, promises);
+    if (!reads.empty()) {
+        answerReads(reads);
+    }
+    for (const auto &[taker, requests] : promises) {
+        askPromises(taker, requests);
+    }
+    notifyGrowth();
+}
+
+void permit_controller::tickServices(std::vector<pending_read> &reads, std::map<node_id, std::vector<pending_promise>> &promises)
+{
+    const auto config = m_replica.current();
+    const std::vector<placement_member> members = m_peers.placementMembers();
+    const std::shared_ptr<const cluster_view> cluster = m_peers.clusterView();
+    for (const auto &[service, settings] : config->services) {
+        permit_surroundings around;
+        around.placed = placeService(service, members, MAX_HOLDERS);
+        const bool placed = std::any_of(around.placed.begin(), around.placed.end(), [this](const placement_member &peer) { return peer.id == m_self; });
+        if (!placed && !m_services.find(service)) {
+            continue;
+        }
+        around.limit = {settings.slotsPerServer, settings.connectionsPerServer};
+        around.inUse = {m_usage(service), 0};
+        const std::shared_ptr<service_entry> entry = entryOf(service);
+        std::vector<permit_action> actions;
+        {
+            const std::lock_guard lock(entry->mutex);
+            auto view = std::make_shared<cluster_view>(*cluster);
+            if (entry->holder.permits()) {
+                for (const permit_entry &holder : entry->holder.permits()->record.ring()) {
+                    const auto live = view->live.find(holder.node);
+                    if (live != view->live.end() && live->second.value() - holder.started.value() < MAX_REFUTATIONS) {
+                        live->second = holder.started;
+                    }
+                }
+            }
+            around.cluster = std::move(view);
+            actions = entry->holder.tick(system_clock().now(), around);
+        }
+        for (permit_action &action : actions) {
+            if (const auto *read = std::get_if<read_permits>(&action)) {
+                reads.push_back({service, entry, read->operation});
+            } else if (const auto *change = std::get_if<write_permits>(&action)) {
+                write(service, *entry, *change);
+            } else {
+                auto &ask = std::get<ask_promise>(action);
+                const node_id taker = ask.taker;
+                promises[taker].push_back({service, entry, std::move(ask)});
+            }
+        }
+    }
+}
+
+void permit_controller::answerReads(const std::vector<pending_read> &reads)
+{
+    // One list answers the reads of all services, so that the number of calls doesn't grow with the number of services.
+    const outcome<std::vector<object>> records = m_platform.list(KEY_PREFIX);
+    std::map<std::string, const object *> byKey;
+    if (records) {
+        for (const object &record : *records) {
+            byKey[record.key] = &record;
+        }
+    }
+    for (const pending_read &read : reads) {
+        outcome<versioned_permits> answer = versioned_permits();
+        const auto found = byKey.find(KEY_PREFIX + read.service.str());
+        if (!records) {
+            answer = records.reason();
+        } else if (found != byKey.end()) {
+            outcome<permit_record> record = permit_record::fromJson(found->second->value);
+            answer = record ? outcome<versioned_permits>(versioned_permits{found->second->version, std::move(record).value()})
+                            : outcome<versioned_permits>(record.reason());
+        }
+        const std::lock_guard lock(read.entry->mutex);
+        read.entry->holder.readAnswered(read.operation, system_clock().now(), answer);
+    }
+}
+
+void permit_controller::write(const service_id &service, service_entry &entry, const write_permits &action)
+{
+    const outcome<object_version> written = m_platform.write(KEY_PREFIX + service.str(), action.permits.record.toJson(), action.permits.version);
+    logInfo("permit.write",
+            {{"service", service.str()},
+             {"epoch", std::to_string(action.permits.record.epoch())},
+             {"holders", std::to_string(action.permits.record.ring().size())},
+             {"result", written ? "written" : written.reason().message}});
+    const std::lock_guard lock(entry.mutex);
+    entry.holder.writeAnswered(action.operation, system_clock().now(), written);
+}
+
+void permit_controller::askPromises(const node_id &taker, const std::vector<pending_promise> &promises)
+{
+    json request = json::array();
+    for (const pending_promise &pending : promises) {
+        request.push_back({{"service", pending.service.str()},
+                           {"holder", pending.action.request.holder.str()},
+                           {"started", pending.action.request.started.value()},
+                           {"permits", toJson(pending.action.request.permits)}});
+    }
+    const outcome<std::string> payload = m_peers.exchange(taker, peer_exchange_kind::permit_promises, request.dump(), PROMISE_TIMEOUT);
+    const outcome<json> answers = payload ? parseJson(*payload) : outcome<json>(payload.reason());
+    for (std::size_t i = 0; i < promises.size(); ++i) {
+        outcome<promise_answer> answer = failure{error_code::unavailable, "the taker gave no promise"};
+        if (answers && answers->is_array() && i < answers->size()) {
+            const outcome<versioned_permits> permits = parsePermits((*answers)[i].value("permits", json::object()));
+            if (permits) {
+                answer = promise_answer{jsonValue<bool>((*answers)[i], "granted", false), *permits};
+            }
+        }
+        const std::lock_guard lock(promises[i].entry->mutex);
+        promises[i].entry->holder.promiseAnswered(promises[i].action.operation, system_clock().now(), answer);
+    }
+}
+
+outcome<std::string> permit_controller::answerPromises(const std::string &payload)
+{
+    const outcome<json> requests = parseJson(payload);
+    if (!requests || !requests->is_array()) {
+        return failure{error_code::invalid_argument, "permit promises must be a JSON array"};
+    }
+    json answers = json::array();
+    for (const json &entry : *requests) {
+        const outcome<versioned_permits> permits = parsePermits(entry.is_object() ? entry.value("permits", json::object()) : json());
+        const service_id service(jsonValue<std::string>(entry, "service", ""));
+        if (!permits || m_replica.current()->services.count(service) == 0) {
+            return failure{error_code::invalid_argument, "a permit promise is malformed or names an unknown service"};
+        }
+        const promise_request request{
+            node_id(jsonValue<std::string>(entry, "holder", "")), incarnation(jsonValue<std::uint64_t>(entry, "started", 0)), *permits};
+        const std::shared_ptr<service_entry> home = entryOf(service);
+        const std::lock_guard lock(home->mutex);
+        const promise_answer answer = home->holder.answerPromise(request, system_clock().now());
+        answers.push_back({{"granted", answer.granted}, {"permits", toJson(answer.permits)}});
+    }
+    return answers.dump();
+}
+
+void permit_controller::notifyGrowth()
+{
+    std::vector<service_id> grown;
+    m_services.forEach([&grown](const service_id &service, const std::shared_ptr<service_entry> &entry) {
+        const std::lock_guard lock(entry->mutex);
+        const permit_share now = entry->holder.usable(system_clock().now());
+        if (now.slots > entry->lastUsable.slots) {
+            grown.push_back(service);
+        }
+        entry->lastUsable = now;
+    });
+    for (const service_id &service : grown) {
+        if (m_onGrowth) {
+            m_onGrowth(service);
+        }
+    }
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/node/permit_controller.h
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "blackboard/sharded_table.h"
+#include "core/clock.h"
+#include "core/ids.h"
+#include "core/outcome.h"
+#include "platform/object.h"
+#include "policy/permit_action.h"
+#include "policy/permit_share.h"
+#include "policy/placement_member.h"
+
+namespace snipefall {
+
+class configuration_replica;
+class peer_controller;
+class permit_holder;
+
+/** Drives the permit_holder of each service in which this node has a part: talks to the platform and to the takers of its shares. */
+class permit_controller
+{
+public:
+    struct platform_calls
+    {
+        std::function<outcome<std::vector<object>>(const std::string &prefix)> list;
+        std::function<outcome<object_version>(const std::string &key, const std::string &value, object_version expected)> write;
+    };
+    /** The largest number of requests that run on one backend server of a service now. */
+    using usage_function = std::function<unsigned(const service_id &)>;
+    using change_callback = std::function<void(const service_id &)>;
+
+    permit_controller(
+        node_id self, incarnation ownIncarnation, const configuration_replica &replica, peer_controller &peers, platform_calls platform, usage_function usage);
+    ~permit_controller();
+
+    /** Called after a service's usable share has grown. */
+    void onGrowth(change_callback callback) { m_onGrowth = std::move(callback); }
+
+    /** Advances all services; to be called every 200 ms. */
+    void step();
+
+    /** What this node may use of each backend server of @p service now. */
+    permit_share usable(const service_id &service) const;
+
+    /** The caller addresses of the nodes that hold permits of @p service, this node's left out; for the one hop to a holder. */
+    std::vector<std::string> holderAddresses(const service_id &service) const;
+
+private:
+    struct service_entry;
+    struct pending_read;
+    struct pending_promise;
+
+    std::shared_ptr<service_entry> entryOf(const service_id &service);
+    void tickServices(std::vector<pending_read> &reads, std::map<node_id, std::vector<pending_promise>> &promises);
+    void answerReads(const std::vector<pending_read> &reads);
+    void write(const service_id &service, service_entry &entry, const write_permits &action);
+    void askPromises(const node_id &taker, const std::vector<pending_promise> &promises);
+    outcome<std::string> answerPromises(const std::string &payload);
+    void notifyGrowth();
+
+    const node_id m_self;
+    const incarnation m_incarnation;
+    const configuration_replica &m_replica;
+    peer_controller &m_peers;
+    platform_calls m_platform;
+    usage_function m_usage;
+    change_callback m_onGrowth;
+    sharded_table<service_id, std::shared_ptr<service_entry>> m_services;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/node/quarantine_controller.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <mutex>
+#include <string>
+
+#include "core/backend_server.h"
+#include "policy/fact.h"
+#include "policy/request_quarantine.h"
+
+namespace snipefall {
+
+class peer_controller;
+
+/** Shares the evidence against requests that crash backend servers with all nodes. Thread-safe. */
+class quarantine_controller
+{
+public:
+    explicit quarantine_controller(peer_controller &peers);
+
+    request_standing standing(request_fingerprint request) const;
+    void started(request_fingerprint request, const backend_server_id &server);
+    void ended(request_fingerprint request, const backend_server_id &server, bool succeeded);
+    /** A connection closed without an answer; @p startedMs is the last known start time of the server. */
+    void crashed(const backend_server_id &server, std::uint64_t startedMs);
+    /** Takes a suspected_request or quarantined fact of a peer. */
+    void handleFact(const fact &news);
+    void tick();
+    std::size_t quarantinedCount() const;
+
+private:
+    mutable std::mutex m_mutex;
+    request_quarantine m_quarantine;
+    peer_controller &m_peers;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/node/query_environment.h
@@ -0,0 +1,21 @@
+#pragma once
+
+namespace snipefall {
+
+class crash_detector;
+class fan_out_engine;
+class move_manager;
+class quarantine_controller;
+class sub_request_dispatcher;
+
+/** The parts of a node that each query uses. */
+struct query_environment
+{
+    sub_request_dispatcher &dispatcher;
+    fan_out_engine &engine;
+    quarantine_controller &quarantine;
+    crash_detector &crashes;
+    move_manager &moves;
+};
+
+} // namespace snipefall
--- a/node/query_runner.cpp
+++ b/node/query_runner.cpp
@@ -6,6 +6,10 @@
 
 #include "core/json.h"
 #include "http/fan_out_engine.h"
+#include "node/crash_detector.h"
+#include "node/move_manager.h"
+#include "node/quarantine_controller.h"
+#include "node/query_environment.h"
 #include "node/service_runtime.h"
 #include "node/sub_request_dispatcher.h"
 #include "policy/latency_key.h"
@@ -54,11 +58,10 @@
 
 } // namespace
 
-query_runner::query_runner(query_task task, service_runtime &runtime, sub_request_dispatcher &dispatcher, fan_out_engine &engine)
+query_runner::query_runner(query_task task, service_runtime &runtime, query_environment &environment)
     : m_task(std::move(task))
     , m_runtime(runtime)
-    , m_dispatcher(dispatcher)
-    , m_engine(engine)
+    , m_environment(environment)
     , m_execution(m_task.planned.plan, m_task.options, runtime.budget)
 {
 }
@@ -84,6 +87,7 @@
 sub_request query_runner::makeRequest(sub_request_id sub)
 {
     const sub_target target = targetOf(sub);
+    m_environment.quarantine.started(m_task.fingerprint, m_task.planned.plan->servers[target.server.value()]);
     sub_request request;
     request.address = m_task.planned.addresses[target.server.value()];
     request.target = "/shards/query";
@@ -141,6 +145,7 @@
                                 document.value("results", json::array()).dump()};
         }
     }
+    observe(sub, response, answer.has_value());
     std::unique_lock lock(m_runtime.mutex);
     query_actions actions;
     if (answer) {
@@ -153,6 +158,28 @@
     apply(actions, lock);
 }
 
+void query_runner::observe(sub_request_id sub, const sub_response &response, bool answered)
+{
+    const backend_server_id &server = m_task.planned.plan->servers[targetOf(sub).server.value()];
+    if (response.status == transport_status::closed) {
+        m_environment.crashes.connectionClosed(server, m_task.fingerprint);
+    } else {
+        m_environment.quarantine.ended(m_task.fingerprint, server, answered);
+    }
+    const bool refused = response.status == transport_status::ok && (response.httpStatus == 429 || response.httpStatus == 503 || response.httpStatus == 409);
+    const bool cancelled = response.status == transport_status::cancelled || (response.status == transport_status::ok && response.httpStatus == 410);
+    if (refused || cancelled || response.status == transport_status::connect_failed) {
+        return;
+    }
+    sub_answer_sample sample;
+    sample.route = m_task.route;
+    sample.failed = !answered;
+    sample.warm = !m_environment.dispatcher.isCold(server);
+    sample.latency = response.elapsed;
+    sample.at = system_clock().now();
+    m_environment.moves.record(m_task.service, m_task.version, std::move(sample));
+}
+
 void query_runner::onTick()
 {
     std::unique_lock lock(m_runtime.mutex);
@@ -194,7 +221,7 @@
     lock.unlock();
 
     for (const cancel_action &cancel : actions.cancels) {
-        m_dispatcher.cancel(m_task.planned.plan->servers[cancel.server.value()], cancel.sub);
+        m_environment.dispatcher.cancel(m_task.planned.plan->servers[cancel.server.value()], cancel.sub);
     }
     if (actions.finish || actions.restartOnNewerSnapshot) {
         query_result result = counts;
@@ -215,7 +242,7 @@
     bool started = false;
     for (const send_action &send : sends) {
         const backend_server_id &server = m_task.planned.plan->servers[send.server.value()];
-        if (m_dispatcher.tryStart(server, send.sub, send.deadline, shared_from_this())) {
+        if (m_environment.dispatcher.tryStart(m_task.service, server, send.sub, send.deadline, shared_from_this())) {
             started = true;
             continue;
         }
@@ -239,7 +266,7 @@
 
 void query_runner::scheduleTick(time_point when)
 {
-    m_engine.schedule(when, m_task.options.number.value(), [self = std::weak_ptr<query_runner>(shared_from_this())] {
+    m_environment.engine.schedule(when, m_task.options.number.value(), [self = std::weak_ptr<query_runner>(shared_from_this())] {
         if (const auto runner = self.lock()) {
             runner->onTick();
         }
--- a/node/query_runner.h
+++ b/node/query_runner.h
@@ -13,11 +13,11 @@
 #include "policy/planned_query.h"
 #include "policy/query_actions.h"
 #include "policy/query_execution.h"
+#include "policy/request_fingerprint.h"
 
 namespace snipefall {
 
-class fan_out_engine;
-class sub_request_dispatcher;
+struct query_environment;
 struct service_runtime;
 
 /** What a query_runner needs to know of its query. */
@@ -27,9 +27,12 @@
     version_id version;
     request_id request;
     std::string nodeTag; ///< Prefix that makes sub-request ids unique among all nodes.
+    std::string route; ///< Kind of query, for the comparison of versions.
     std::string query; ///< JSON text that is passed on to the backend servers.
     planned_query planned;
     query_options options;
+    request_fingerprint fingerprint;
+    duration versionMedian{}; ///< 0 while it is unknown.
     std::function<bool(const snapshot_id &)> newerSnapshotExists; ///< Whether a query can start again on a newer snapshot.
 };
 
@@ -37,7 +40,7 @@
 class query_runner : public sub_request_owner, public std::enable_shared_from_this<query_runner>
 {
 public:
-    query_runner(query_task task, service_runtime &runtime, sub_request_dispatcher &dispatcher, fan_out_engine &engine);
+    query_runner(query_task task, service_runtime &runtime, query_environment &environment);
 
     /** Starts the query and waits for its end. */
     query_result run();
@@ -45,6 +48,7 @@
     sub_request makeRequest(sub_request_id sub) override;
     sub_request makeCancel(sub_request_id sub) override;
     bool onSlotFree(const backend_server_id &server) override;
+    duration versionMedian() const override { return m_task.versionMedian; }
     void onCompleted(sub_request_id sub, const sub_response &response) override;
 
 private:
@@ -64,12 +68,13 @@
     void finish(query_result result);
     void scheduleTick(time_point when);
     std::string subRequestName(sub_request_id sub) const;
+    /** Tells the quarantine and the move of the service how a sub-request ended. */
+    void observe(sub_request_id sub, const sub_response &response, bool answered);
     void recordLatency(duration latency, time_point now);
 
     const query_task m_task;
     service_runtime &m_runtime;
-    sub_request_dispatcher &m_dispatcher;
-    fan_out_engine &m_engine;
+    query_environment &m_environment;
     query_execution m_execution; ///< Guarded by the runtime's mutex.
     std::unordered_map<sub_request_id, sub_target> m_targets; ///< Guarded by the runtime's mutex.
     time_point m_scheduledTick = time_point::max(); ///< Guarded by the runtime's mutex.
--- a/node/sub_request_dispatcher.cpp
+++ b/node/sub_request_dispatcher.cpp
@@ -1,13 +1,39 @@
 #include "node/sub_request_dispatcher.h"
 
+#include "core/backend_server.h"
 #include "http/fan_out_engine.h"
 #include "node/sub_request_owner.h"
 
 namespace snipefall {
 
-sub_request_dispatcher::sub_request_dispatcher(fan_out_engine &engine, limit_function limit, observer observe)
+namespace {
+
+server_answer_kind answerKindOf(const sub_response &response)
+{
+    if (response.status == transport_status::cancelled) {
+        return server_answer_kind::cancelled;
+    }
+    if (response.status != transport_status::ok) {
+        return server_answer_kind::failed;
+    }
+    switch (response.httpStatus) {
+    case 200:
+        return server_answer_kind::success;
+    case 429:
+        return server_answer_kind::shed;
+    case 500:
+        return server_answer_kind::failed;
+    default:
+        // A shard that is not held, a cancelled or an expired request says nothing of the server's load.
+        return server_answer_kind::cancelled;
+    }
+}
+
+} // namespace
+
+sub_request_dispatcher::sub_request_dispatcher(fan_out_engine &engine, share_function share, observer observe)
     : m_engine(engine)
-    , m_limit(std::move(limit))
+    , m_share(std::move(share))
     , m_observe(std::move(observe))
 {
 }
@@ -22,19 +48,20 @@
     return m_shards[std::hash<backend_server_id>{}(server) % SHARDS];
 }
 
-bool sub_request_dispatcher::tryStart(const backend_server_id &server, sub_request_id sub, time_point deadline, const std::shared_ptr<sub_request_owner> &owner)
+bool sub_request_dispatcher::tryStart(
+    const service_id &service, const backend_server_id &server, sub_request_id sub, time_point deadline, const std::shared_ptr<sub_request_owner> &owner)
 {
-    const unsigned limit = m_limit(server);
+    const permit_share usable = m_share(service);
     {
         shard &home = shardOf(server);
         const std::lock_guard lock(home.mutex);
         server_entry &entry = home.servers[server];
-        if (entry.running >= limit) {
+        entry.service = service;
+        if (!entry.limiter.mayStart(usable, system_clock().now())) {
             entry.waiting.emplace(std::pair(deadline, owner.get()), owner);
             return false;
         }
-        ++entry.running;
-        entry.requests.emplace(sub, owner);
+        entry.requests.emplace(sub, running_request{owner, entry.limiter.started(usable)});
     }
     start(server, sub, owner);
     return true;
@@ -58,22 +85,61 @@
         if (found == entry.requests.end()) {
             return;
         }
-        owner = found->second;
+        owner = found->second.owner;
     }
     m_engine.submit(owner->makeCancel(sub), [](const sub_response &) {});
 }
 
+std::optional<std::uint64_t> sub_request_dispatcher::tryAcquire(const service_id &service, const backend_server_id &server)
+{
+    const permit_share usable = m_share(service);
+    shard &home = shardOf(server);
+    const std::lock_guard lock(home.mutex);
+    server_entry &entry = home.servers[server];
+    entry.service = service;
+    if (!entry.limiter.mayStart(usable, system_clock().now())) {
+        return std::nullopt;
+    }
+    return entry.limiter.started(usable);
+}
+
+void sub_request_dispatcher::release(const backend_server_id &server, std::uint64_t slot, const server_answer &answer)
+{
+    {
+        shard &home = shardOf(server);
+        const std::lock_guard lock(home.mutex);
+        home.servers[server].limiter.finished(slot, answer, system_clock().now());
+    }
+    offerSlots(server);
+}
+
+void sub_request_dispatcher::updateServer(const backend_server &server, bool domainOut)
+{
+    {
+        shard &home = shardOf(server.id);
+        const std::lock_guard lock(home.mutex);
+        server_entry &entry = home.servers[server.id];
+        entry.service = server.service;
+        entry.limiter.observeStartTime(server.startedMs);
+        entry.limiter.setExclusions({server.leaving, domainOut, false});
+    }
+    offerSlots(server.id);
+}
+
 void sub_request_dispatcher::completed(
     const backend_server_id &server, sub_request_id sub, const std::shared_ptr<sub_request_owner> &owner, time_point started, const sub_response &response)
 {
     {
+        const time_point now = system_clock().now();
+        const server_answer answer{answerKindOf(response), now - started, owner->versionMedian()};
         shard &home = shardOf(server);
         const std::lock_guard lock(home.mutex);
         server_entry &entry = home.servers[server];
-        entry.requests.erase(sub);
-        --entry.running;
+        const auto found = entry.requests.find(sub);
+        entry.limiter.finished(found->second.slot, answer, now);
+        entry.requests.erase(found);
     }
-    m_observe(server, response, system_clock().now() - started);
+    m_observe(server, response);
     owner->onCompleted(sub, response);
     offerSlots(server);
 }
@@ -87,12 +153,21 @@
 
 std::shared_ptr<sub_request_owner> sub_request_dispatcher::nextWaiting(const backend_server_id &server)
 {
-    const unsigned limit = m_limit(server);
-    const time_point now = system_clock().now();
     shard &home = shardOf(server);
+    service_id service;
+    {
+        const std::lock_guard lock(home.mutex);
+        const server_entry &entry = home.servers[server];
+        if (entry.waiting.empty()) {
+            return nullptr;
+        }
+        service = entry.service;
+    }
+    const permit_share usable = m_share(service);
+    const time_point now = system_clock().now();
     const std::lock_guard lock(home.mutex);
     server_entry &entry = home.servers[server];
-    while (entry.running < limit && !entry.waiting.empty()) {
+    while (!entry.waiting.empty() && entry.limiter.mayStart(usable, now)) {
         const auto first = entry.waiting.begin();
         const bool expired = first->first.first <= now;
         std::shared_ptr<sub_request_owner> owner = first->second.lock();
@@ -109,7 +184,15 @@
     const shard &home = shardOf(server);
     const std::lock_guard lock(home.mutex);
     const auto found = home.servers.find(server);
-    return found == home.servers.end() ? 0 : found->second.running;
+    return found == home.servers.end() ? 0 : found->second.limiter.running();
+}
+
+bool sub_request_dispatcher::isCold(const backend_server_id &server) const
+{
+    const shard &home = shardOf(server);
+    const std::lock_guard lock(home.mutex);
+    const auto found = home.servers.find(server);
+    return found == home.servers.end() || found->second.limiter.cold();
 }
 
 std::size_t sub_request_dispatcher::waiting(const backend_server_id &server) const
--- a/node/sub_request_dispatcher.h
+++ b/node/sub_request_dispatcher.h
@@ -5,16 +5,20 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <unordered_map>
 
 #include "core/clock.h"
 #include "core/ids.h"
 #include "http/sub_request.h"
+#include "policy/server_answer.h"
+#include "policy/server_limiter.h"
 
 namespace snipefall {
 
 class fan_out_engine;
 class sub_request_owner;
+struct backend_server;
 
 /**
  * Keeps each backend server within its concurrency limit.
@@ -26,15 +30,16 @@
 class sub_request_dispatcher
 {
 public:
-    /** The concurrency that a server may get from this node at this time. */
-    using limit_function = std::function<unsigned(const backend_server_id &)>;
-    /** Told of each response, for the limits and the crash detection. */
-    using observer = std::function<void(const backend_server_id &, const sub_response &, duration latency)>;
+    /** What this node may use of each backend server of a service at this time. */
+    using share_function = std::function<permit_share(const service_id &)>;
+    /** Told of each response, for the crash detection. */
+    using observer = std::function<void(const backend_server_id &, const sub_response &)>;
 
-    sub_request_dispatcher(fan_out_engine &engine, limit_function limit, observer observe);
+    sub_request_dispatcher(fan_out_engine &engine, share_function share, observer observe);
 
     /** Sends the sub-request if the server has a free slot; else returns false and lets the owner wait for one until @p deadline. */
-    bool tryStart(const backend_server_id &server, sub_request_id sub, time_point deadline, const std::shared_ptr<sub_request_owner> &owner);
+    bool tryStart(
+        const service_id &service, const backend_server_id &server, sub_request_id sub, time_point deadline, const std::shared_ptr<sub_request_owner> &owner);
 
     /**
      * Asks the server to stop a running request.
@@ -44,21 +49,37 @@
      */
     void cancel(const backend_server_id &server, sub_request_id sub);
 
+    /** Takes a slot for a request that is sent by other means; nothing if none is free. */
+    std::optional<std::uint64_t> tryAcquire(const service_id &service, const backend_server_id &server);
+    /** Gives a slot of tryAcquire() back. */
+    void release(const backend_server_id &server, std::uint64_t slot, const server_answer &answer);
+
+    /** Takes over what the topology knows of a server, and offers its slots if it can be used. */
+    void updateServer(const backend_server &server, bool domainOut);
     /** Offers free slots to waiting owners, after a limit may have grown. */
     void offerSlots(const backend_server_id &server);
 
     unsigned running(const backend_server_id &server) const;
+    /** Servers that are in slow start. */
+    bool isCold(const backend_server_id &server) const;
     /** Owners that wait for a slot. */
     std::size_t waiting(const backend_server_id &server) const;
 
 private:
     static constexpr std::size_t SHARDS = 16;
 
+    struct running_request
+    {
+        std::shared_ptr<sub_request_owner> owner;
+        std::uint64_t slot = 0;
+    };
+
     struct server_entry
     {
-        unsigned running = 0;
+        service_id service;
+        server_limiter limiter{0};
         std::map<std::pair<time_point, sub_request_owner *>, std::weak_ptr<sub_request_owner>> waiting;
-        std::unordered_map<sub_request_id, std::shared_ptr<sub_request_owner>> requests;
+        std::unordered_map<sub_request_id, running_request> requests;
     };
 
     struct shard
@@ -75,7 +96,7 @@
     std::shared_ptr<sub_request_owner> nextWaiting(const backend_server_id &server);
 
     fan_out_engine &m_engine;
-    limit_function m_limit;
+    share_function m_share;
     observer m_observe;
     std::array<shard, SHARDS> m_shards;
 };
--- a/node/sub_request_owner.h
+++ b/node/sub_request_owner.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/ids.h"
 #include "http/sub_request.h"
 
@@ -17,6 +18,8 @@
     virtual sub_request makeCancel(sub_request_id sub) = 0;
     /** A slot of a server for which the owner waits is free. Returns whether the owner started a request there. */
     virtual bool onSlotFree(const backend_server_id &server) = 0;
+    /** The median latency of the servers' version; 0 while it is unknown. */
+    virtual duration versionMedian() const = 0;
     virtual void onCompleted(sub_request_id sub, const sub_response &response) = 0;
 };
 
--- a/policy/answer_totals.cpp
+++ b/policy/answer_totals.cpp
@@ -57,7 +57,7 @@
     for (std::size_t i = 0; i < COVERAGE_BUCKETS; ++i) {
         totals.m_coverage[i] = coverage[i].is_number_unsigned() ? coverage[i].get<std::uint64_t>() : 0;
     }
-    outcome<latency_distribution> latency = latency_distribution::fromJson(document.value("latency", json::object()));
+    outcome<latency_histogram> latency = latency_histogram::fromJson(document.value("latency", json::object()));
     if (!latency) {
         return latency.reason();
     }
--- a/policy/answer_totals.h
+++ b/policy/answer_totals.h
@@ -5,7 +5,7 @@
 
 #include "core/json.h"
 #include "policy/answer_record.h"
-#include "policy/latency_distribution.h"
+#include "policy/latency_histogram.h"
 
 namespace snipefall {
 
@@ -24,7 +24,7 @@
     std::uint64_t firstSubRequests() const { return m_firstSubRequests; }
     std::uint64_t extraSubRequests() const { return m_extraSubRequests; }
     const std::array<std::uint64_t, COVERAGE_BUCKETS> &coverage() const { return m_coverage; }
-    const latency_distribution &latency() const { return m_latency; }
+    const latency_histogram &latency() const { return m_latency; }
 
     json toJson() const;
     static outcome<answer_totals> fromJson(const json &document);
@@ -38,7 +38,7 @@
     std::uint64_t m_firstSubRequests = 0;
     std::uint64_t m_extraSubRequests = 0;
     std::array<std::uint64_t, COVERAGE_BUCKETS> m_coverage{};
-    latency_distribution m_latency;
+    latency_histogram m_latency;
 };
 
 } // namespace snipefall
--- /dev/null
+++ b/policy/crash_event.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+
+#include "core/ids.h"
+
+namespace snipefall {
+
+/** One crash of a backend server: the process with this start time ended without an answer to what it ran. */
+struct crash_event
+{
+    backend_server_id server;
+    std::uint64_t startedMs = 0;
+
+    auto operator<=>(const crash_event &) const = default;
+};
+
+} // namespace snipefall
--- a/policy/fact_kind.h
+++ b/policy/fact_kind.h
@@ -13,6 +13,8 @@
     leaving_server = 3,
     cold_server = 4,
     suspected_request = 5,
+    draining_node = 6,
+    configuration = 7, ///< A configuration version was committed; the payload is its number.
 };
 
 } // namespace snipefall
--- a/policy/latency_histogram.cpp
+++ b/policy/latency_histogram.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 
 namespace snipefall {
 
@@ -62,4 +63,33 @@
     return count;
 }
 
+json latency_histogram::toJson() const
+{
+    json document = json::object();
+    for (std::size_t bucket = 0; bucket < BUCKETS; ++bucket) {
+        if (m_counts[bucket] > 0) {
+            document[std::to_string(bucket)] = m_counts[bucket];
+        }
+    }
+    return document;
+}
+
+outcome<latency_histogram> latency_histogram::fromJson(const json &document)
+{
+    if (!document.is_object()) {
+        return failure{error_code::invalid_argument, "a latency histogram is not an object"};
+    }
+    latency_histogram histogram;
+    for (const auto &[key, count] : document.items()) {
+        char *end = nullptr;
+        const unsigned long bucket = std::strtoul(key.c_str(), &end, 10);
+        if (key.empty() || *end != '\0' || bucket >= BUCKETS || !count.is_number_unsigned() || count.get<std::uint64_t>() > UINT32_MAX) {
+            return failure{error_code::invalid_argument, "a latency histogram has an unknown bucket or count: " + key};
+        }
+        histogram.m_counts[bucket] = count.get<std::uint32_t>();
+        histogram.m_total += histogram.m_counts[bucket];
+    }
+    return histogram;
+}
+
 } // namespace snipefall
--- a/policy/latency_histogram.h
+++ b/policy/latency_histogram.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 
 #include "core/clock.h"
+#include "core/json.h"
 
 namespace snipefall {
 
@@ -27,6 +28,13 @@
     /** The upper edge of @p bucket. */
     static duration upperEdge(std::size_t bucket);
 
+    /** The upper edge of the bucket that holds the quantile; 0 when empty. */
+    duration quantile(double quantile) const { return m_total == 0 ? duration(0) : upperEdge(quantileBucket(quantile)); }
+
+    /** Only the buckets that are not empty, as {"bucket": count}. */
+    json toJson() const;
+    static outcome<latency_histogram> fromJson(const json &document);
+
     bool operator==(const latency_histogram &) const = default;
 
 private:
--- /dev/null
+++ b/policy/request_quarantine.cpp
@@ -0,0 +1,100 @@
+#include "policy/request_quarantine.h"
+
+#include <algorithm>
+
+namespace snipefall {
+
+namespace {
+
+constexpr std::size_t CRASHES_FOR_QUARANTINE = 2;
+
+}
+
+request_standing request_quarantine::standing(request_fingerprint request) const
+{
+    const auto found = m_suspicions.find(request);
+    if (found != m_suspicions.end()) {
+        return found->second.crashes.size() >= CRASHES_FOR_QUARANTINE ? request_standing::quarantined : request_standing::suspected;
+    }
+    return m_proven.count(request) > 0 ? request_standing::proven : request_standing::unknown;
+}
+
+void request_quarantine::started(request_fingerprint request, const backend_server_id &server)
+{
+    ++m_inFlight[server][request];
+}
+
+bool request_quarantine::ended(request_fingerprint request, const backend_server_id &server, bool succeeded)
+{
+    const auto home = m_inFlight.find(server);
+    if (home != m_inFlight.end()) {
+        const auto running = home->second.find(request);
+        if (running != home->second.end() && --running->second == 0) {
+            home->second.erase(running);
+        }
+    }
+    if (!succeeded) {
+        return false;
+    }
+    remember(request);
+    return m_suspicions.erase(request) > 0;
+}
+
+std::vector<request_fingerprint> request_quarantine::crashed(const crash_event &event, time_point now)
+{
+    std::vector<request_fingerprint> suspects;
+    const auto home = m_inFlight.find(event.server);
+    if (home == m_inFlight.end()) {
+        return suspects;
+    }
+    for (const auto &[request, count] : home->second) {
+        if (m_proven.count(request) > 0) {
+            continue;
+        }
+        suspect(request, event, now);
+        suspects.push_back(request);
+    }
+    m_inFlight.erase(home);
+    return suspects;
+}
+
+void request_quarantine::suspect(request_fingerprint request, const crash_event &event, time_point now)
+{
+    if (m_proven.count(request) > 0) {
+        return;
+    }
+    suspicion &entry = m_suspicions[request];
+    entry.crashes.insert(event);
+    entry.lastCrash = now;
+}
+
+void request_quarantine::clear(request_fingerprint request)
+{
+    remember(request);
+    m_suspicions.erase(request);
+}
+
+void request_quarantine::tick(time_point now)
+{
+    std::erase_if(m_suspicions, [now](const auto &entry) { return now - entry.second.lastCrash > RETENTION; });
+}
+
+std::size_t request_quarantine::quarantinedCount() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_suspicions.begin(), m_suspicions.end(), [](const auto &entry) { return entry.second.crashes.size() >= CRASHES_FOR_QUARANTINE; }));
+}
+
+void request_quarantine::remember(request_fingerprint request)
+{
+    if (!m_proven.insert(request).second) {
+        return;
+    }
+    m_provenOrder.push_back(request);
+    if (m_provenOrder.size() > MAX_PROVEN) {
+        m_proven.erase(m_provenOrder.front());
+        m_provenOrder.pop_front();
+    }
+}
+
+} // namespace snipefall
