--- /dev/null
+++ b/bench/bench_overload.cpp
@@ -0,0 +1,333 @@
+#include <algorithm>
+#include <cstdio>
+#include <fstream>
+#include <functional>
+#include <getopt.h>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <fmt/core.h>
+
+#include "core/json.h"
+#include "policy/admission_queue.h"
+#include "policy/server_limiter.h"
+
+using namespace snipefall;
+
+namespace {
+
+constexpr std::uint32_t SERVERS = 2;
+constexpr std::uint32_t SLOTS_PER_SERVER = 2;
+constexpr std::uint32_t PERMITS = SERVERS * SLOTS_PER_SERVER;
+constexpr double SERVICE_TIME_US = 6000.0;
+constexpr double CAPACITY_PER_S = PERMITS * 1e6 / SERVICE_TIME_US;
+constexpr duration DEADLINE = std::chrono::milliseconds(100);
+constexpr duration RUN_TIME = std::chrono::seconds(30);
+constexpr std::size_t MAX_QUEUED = 64; ///< The default of max_queued_queries.
+constexpr std::uint64_t SEED = 5051;
+
+struct arrival
+{
+    time_point at;
+    duration serviceTime;
+    caller_id caller;
+};
+
+/** Poisson arrivals; service times are uniform between half and one and a half of the mean. The first caller sends @p skew times as much as each other. */
+std::vector<arrival> makeArrivals(double perSecond, int callers, double skew)
+{
+    std::mt19937_64 random(SEED);
+    std::exponential_distribution<double> gap(perSecond / 1e6);
+    std::uniform_real_distribution<double> service(0.5 * SERVICE_TIME_US, 1.5 * SERVICE_TIME_US);
+    std::vector<double> weights(callers, 1.0);
+    weights.front() = skew;
+    std::discrete_distribution<int> caller(weights.begin(), weights.end());
+    std::vector<arrival> arrivals;
+    for (double atUs = gap(random); atUs < static_cast<double>(RUN_TIME.count()); atUs += gap(random)) {
+        arrivals.push_back({time_point(duration(static_cast<duration::rep>(atUs))),
+                            duration(static_cast<duration::rep>(service(random))),
+                            caller_id(fmt::format("caller-{}", caller(random)))});
+    }
+    return arrivals;
+}
+
+/** The order in which queries run, with or without admission control. */
+class query_order
+{
+public:
+    virtual ~query_order() = default;
+    virtual void offer(std::uint64_t id, const arrival &query, time_point now) = 0;
+    virtual std::optional<std::uint64_t> next(time_point now) = 0;
+    virtual void finished(const arrival &query) = 0;
+};
+
+/** The baseline: everything waits in one line, however long. */
+class unbounded_fifo : public query_order
+{
+public:
+    void offer(std::uint64_t id, const arrival &, time_point) override { m_queue.push(id); }
+    std::optional<std::uint64_t> next(time_point) override
+    {
+        if (m_queue.empty()) {
+            return std::nullopt;
+        }
+        const auto id = m_queue.front();
+        m_queue.pop();
+        return id;
+    }
+    void finished(const arrival &) override { }
+
+private:
+    std::queue<std::uint64_t> m_queue;
+};
+
+class admission_order : public query_order
+{
+public:
+    void offer(std::uint64_t id, const arrival &query, time_point now) override { m_queue.offer({id, query.caller, now + DEADLINE}, PERMITS, now); }
+    std::optional<std::uint64_t> next(time_point now) override
+    {
+        const auto next = m_queue.next(now);
+        return next.start ? std::optional(next.start->id) : std::nullopt;
+    }
+    void finished(const arrival &query) override { m_queue.finished(query.caller, query.serviceTime); }
+
+private:
+    admission_queue m_queue{MAX_QUEUED, std::chrono::milliseconds(6)};
+};
+
+struct caller_counts
+{
+    std::uint64_t offered = 0;
+    std::uint64_t good = 0;
+};
+
+struct load_result
+{
+    double goodPerS = 0.0;
+    double latePercent = 0.0;
+    double refusedPercent = 0.0; ///< Refused as not run, or still waiting at the end.
+    double p99Ms = 0.0; ///< Of all queries that ran.
+    std::map<caller_id, caller_counts> callers;
+};
+
+load_result simulate(const std::vector<arrival> &arrivals, query_order &order)
+{
+    using completion = std::pair<time_point, std::uint64_t>;
+    std::priority_queue<completion, std::vector<completion>, std::greater<>> running;
+    std::vector<double> latenciesMs;
+    load_result result;
+    std::uint64_t good = 0;
+    const auto startNext = [&](time_point now) {
+        while (running.size() < PERMITS) {
+            const auto id = order.next(now);
+            if (!id) {
+                return;
+            }
+            running.emplace(now + arrivals[*id].serviceTime, *id);
+        }
+    };
+    const auto finishUntil = [&](time_point limit) {
+        while (!running.empty() && running.top().first <= limit) {
+            const auto [now, id] = running.top();
+            running.pop();
+            const auto &query = arrivals[id];
+            order.finished(query);
+            latenciesMs.push_back(static_cast<double>((now - query.at).count()) / 1000.0);
+            if (now - query.at <= DEADLINE) {
+                ++good;
+                ++result.callers[query.caller].good;
+            }
+            startNext(now);
+        }
+    };
+    for (std::uint64_t id = 0; id < arrivals.size(); ++id) {
+        finishUntil(arrivals[id].at);
+        ++result.callers[arrivals[id].caller].offered;
+        order.offer(id, arrivals[id], arrivals[id].at);
+        startNext(arrivals[id].at);
+    }
+    finishUntil(time_point(RUN_TIME));
+    std::sort(latenciesMs.begin(), latenciesMs.end());
+    const auto offered = static_cast<double>(arrivals.size());
+    const auto ran = static_cast<double>(latenciesMs.size());
+    result.goodPerS = static_cast<double>(good) * 1e6 / static_cast<double>(RUN_TIME.count());
+    result.latePercent = 100.0 * (ran - static_cast<double>(good)) / offered;
+    result.refusedPercent = 100.0 * (offered - ran) / offered;
+    result.p99Ms = latenciesMs.empty() ? 0.0 : latenciesMs[latenciesMs.size() * 99 / 100];
+    return result;
+}
+
+json describe(const load_result &result)
+{
+    return {{"good_per_s", result.goodPerS}, {"late_percent", result.latePercent}, {"refused_percent", result.refusedPercent}, {"p99_ms", result.p99Ms}};
+}
+
+struct named_order
+{
+    const char *name;
+    std::function<std::unique_ptr<query_order>()> make;
+};
+
+const named_order ORDERS[] = {
+    {"unbounded FIFO", [] { return std::make_unique<unbounded_fifo>(); }},
+    {"admission queue", [] { return std::make_unique<admission_order>(); }},
+};
+
+json benchLoads()
+{
+    json rows = json::array();
+    fmt::print("Offered load, {} servers with {} slots, {:.0f} us: capacity {:.0f}/s, deadline {} ms\n",
+               SERVERS,
+               SLOTS_PER_SERVER,
+               SERVICE_TIME_US,
+               CAPACITY_PER_S,
+               DEADLINE.count() / 1000);
+    fmt::print("{:>5}  {:<16} {:>9} {:>10} {:>9} {:>7} {:>9}\n", "load", "order", "good/s", "of peak %", "p99 ms", "late %", "not run %");
+    std::map<std::string, double> peaks;
+    for (const double load : {0.5, 0.7, 0.9, 1.0, 1.1, 1.25, 1.5, 2.0, 2.5, 3.0}) {
+        const auto arrivals = makeArrivals(load * CAPACITY_PER_S, 5, 1.0);
+        for (const auto &order : ORDERS) {
+            const auto result = simulate(arrivals, *order.make());
+            auto &peak = peaks[order.name];
+            peak = std::max(peak, result.goodPerS);
+            const double ofPeak = 100.0 * result.goodPerS / peak;
+            fmt::print("{:>5.2f}  {:<16} {:>9.1f} {:>10.1f} {:>9.1f} {:>7.1f} {:>9.1f}\n",
+                       load,
+                       order.name,
+                       result.goodPerS,
+                       ofPeak,
+                       result.p99Ms,
+                       result.latePercent,
+                       result.refusedPercent);
+            auto row = describe(result);
+            row["load"] = load;
+            row["order"] = order.name;
+            row["percent_of_peak"] = ofPeak;
+            rows.push_back(std::move(row));
+        }
+    }
+    return rows;
+}
+
+json benchFairness()
+{
+    json rows = json::array();
+    fmt::print("\nFive callers, caller-0 sends 10 times as much as each other: queries answered in time\n");
+    fmt::print("{:>5}  {:<16} {:>14} {:>14} {:>18}\n", "load", "order", "caller-0 %", "others %", "worst other %");
+    for (const double load : {1.0, 2.0, 3.0}) {
+        const auto arrivals = makeArrivals(load * CAPACITY_PER_S, 5, 10.0);
+        for (const auto &order : ORDERS) {
+            const auto result = simulate(arrivals, *order.make());
+            double heavy = 0.0;
+            double worst = 100.0;
+            caller_counts others;
+            for (const auto &[caller, counts] : result.callers) {
+                const double percent = 100.0 * static_cast<double>(counts.good) / static_cast<double>(counts.offered);
+                if (caller == caller_id("caller-0")) {
+                    heavy = percent;
+                    continue;
+                }
+                worst = std::min(worst, percent);
+                others.good += counts.good;
+                others.offered += counts.offered;
+            }
+            const double light = 100.0 * static_cast<double>(others.good) / static_cast<double>(others.offered);
+            fmt::print("{:>5.2f}  {:<16} {:>14.1f} {:>14.1f} {:>18.1f}\n", load, order.name, heavy, light, worst);
+            rows.push_back({{"load", load}, {"order", order.name}, {"heavy_percent", heavy}, {"others_percent", light}, {"worst_other_percent", worst}});
+        }
+    }
+    return rows;
+}
+
+constexpr duration RAMP_TIME = std::chrono::seconds(5);
+constexpr duration COLD_RUN_TIME = std::chrono::seconds(10);
+constexpr permit_share COLD_SHARE{6, 50};
+constexpr duration SHED_ANSWER_TIME = std::chrono::milliseconds(1);
+
+struct cold_result
+{
+    std::uint64_t overloads = 0; ///< Requests that arrived while the server already ran all that it could.
+    std::uint64_t answered = 0;
+};
+
+/** A server whose capacity grows evenly from one request at a time to the whole share, under callers that always have work waiting. */
+cold_result simulateColdStart(bool slowStart)
+{
+    struct sent_request
+    {
+        time_point end;
+        std::uint64_t start;
+        server_answer answer;
+
+        bool operator>(const sent_request &other) const { return end > other.end; }
+    };
+    std::priority_queue<sent_request, std::vector<sent_request>, std::greater<>> sent;
+    server_limiter limiter(1);
+    cold_result result;
+    std::uint32_t runningThere = 0;
+    for (time_point now{}; now < time_point(COLD_RUN_TIME); now += duration(100)) {
+        while (!sent.empty() && sent.top().end <= now) {
+            const auto done = sent.top();
+            sent.pop();
+            const bool success = done.answer.kind == server_answer_kind::success;
+            runningThere -= success ? 1 : 0;
+            result.answered += success ? 1 : 0;
+            limiter.finished(done.start, done.answer, now);
+        }
+        const double warmth = std::min(1.0, static_cast<double>(now.time_since_epoch().count()) / static_cast<double>(RAMP_TIME.count()));
+        const auto capacity = 1 + static_cast<std::uint32_t>(warmth * (COLD_SHARE.slots - 1));
+        const auto latency = duration(static_cast<duration::rep>(SERVICE_TIME_US * (1.0 + 1.5 * (1.0 - warmth))));
+        while (slowStart ? limiter.mayStart(COLD_SHARE, now) : limiter.running() < COLD_SHARE.slots) {
+            const bool shed = runningThere >= capacity;
+            result.overloads += shed ? 1 : 0;
+            runningThere += shed ? 0 : 1;
+            const auto time = shed ? SHED_ANSWER_TIME : latency;
+            const auto kind = shed ? server_answer_kind::shed : server_answer_kind::success;
+            sent.push({now + time, limiter.started(COLD_SHARE), {kind, time, std::chrono::milliseconds(6)}});
+        }
+    }
+    return result;
+}
+
+json benchColdStart()
+{
+    json rows = json::array();
+    fmt::print("\nCold start: capacity grows from 1 to {} requests at a time over {} s, {} s in all\n",
+               COLD_SHARE.slots,
+               RAMP_TIME.count() / 1000000,
+               COLD_RUN_TIME.count() / 1000000);
+    fmt::print("{:<22} {:>10} {:>10}\n", "limiter", "overloads", "answered");
+    for (const bool slowStart : {false, true}) {
+        const auto result = simulateColdStart(slowStart);
+        const char *name = slowStart ? "with slow start" : "without slow start";
+        fmt::print("{:<22} {:>10} {:>10}\n", name, result.overloads, result.answered);
+        rows.push_back({{"limiter", name}, {"overloads", result.overloads}, {"answered", result.answered}});
+    }
+    return rows;
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    const option options[] = {{"json", required_argument, nullptr, 'j'}, {nullptr, 0, nullptr, 0}};
+    std::string path;
+    for (int found = 0; (found = getopt_long(argc, argv, "", options, nullptr)) != -1;) {
+        if (found != 'j') {
+            fmt::print(stderr, "usage: bench_overload [--json FILE]\n");
+            return 2;
+        }
+        path = optarg;
+    }
+    const json document{{"loads", benchLoads()}, {"fairness", benchFairness()}, {"cold_start", benchColdStart()}};
+    if (!path.empty() && !(std::ofstream(path) << document.dump(2) << '\n')) {
+        fmt::print(stderr, "can't write {}\n", path);
+        return 1;
+    }
+    return 0;
+}
