Route a query by at most one hop to a holder of permits

Callers keep entry answers for a while, so queries also arrive at nodes without permits. They go on whole to a holder, once; a second hop is refused as not run, which rules out loops between nodes with different records.

A node with a usable share serves. Otherwise the holders of the newest record are ranked by rendezvous hashing of the request id, weighted by slots; nodes that are not live or just failed to answer are left out, and the placement is used while no holder is known. The score of the placement moves to its own file and is used for both.

Tests cover the decisions and that 4000 forwarded queries follow slots of 1 to 3.

--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -1,10 +1,9 @@
 #include "policy/placement.h"
 
 #include <algorithm>
-#include <cmath>
 #include <set>
 
-#include "core/crypto.h"
+#include "policy/rendezvous.h"
 
 namespace snipefall {
 
@@ -16,14 +15,6 @@
     const placement_member *member = nullptr;
 };
 
-// The weighted score of Schindelhauer and Schomaker: each member wins a share of the services proportional to its weight.
-double scoreOf(const service_id &service, const placement_member &member)
-{
-    const std::uint64_t hash = stableHash(service.str() + '\n' + member.id.str());
-    const double uniform = (static_cast<double>(hash >> 11) + 0.5) / 9007199254740992.0; // 53 bits, never 0 or 1.
-    return -member.weight / std::log(uniform);
-}
-
 std::vector<scored_member> rank(const service_id &service, const std::vector<placement_member> &members)
 {
     std::vector<scored_member> ranked;
@@ -32,7 +23,7 @@
         if (member.weight <= 0.0) {
             continue;
         }
-        ranked.push_back({scoreOf(service, member), &member});
+        ranked.push_back({rendezvousScore(service.str(), member.id, member.weight), &member});
     }
     std::sort(ranked.begin(), ranked.end(), [](const scored_member &a, const scored_member &b) {
         return a.score != b.score ? a.score > b.score : a.member->id < b.member->id;
--- /dev/null
+++ b/policy/rendezvous.cpp
@@ -0,0 +1,17 @@
+#include "policy/rendezvous.h"
+
+#include <cmath>
+#include <string>
+
+#include "core/crypto.h"
+
+namespace snipefall {
+
+double rendezvousScore(std::string_view key, const node_id &node, double weight)
+{
+    const std::uint64_t hash = stableHash(std::string(key) + '\n' + node.str());
+    const double uniform = (static_cast<double>(hash >> 11) + 0.5) / 9007199254740992.0; // 53 bits, never 0 or 1.
+    return -weight / std::log(uniform);
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/tests/policy/test_hop_router.cpp
@@ -0,0 +1,84 @@
+#include <map>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "policy/hop_router.h"
+
+using namespace snipefall;
+
+namespace {
+
+struct hop_case
+{
+    const char *name;
+    std::uint32_t usableSlots;
+    bool forwarded;
+    bool recordKnown;
+    std::set<node_id> avoided;
+    hop_kind kind;
+    const char *target; ///< Empty for none.
+};
+
+std::ostream &operator<<(std::ostream &out, const hop_case &row)
+{
+    return out << row.name;
+}
+
+const hop_case HOP_CASES[] = {
+    {"own permits", 1, false, true, {}, hop_kind::serve, ""},
+    {"own permits, forwarded", 1, true, true, {}, hop_kind::serve, ""},
+    {"no permits, forwarded", 0, true, true, {}, hop_kind::refuse, ""},
+    {"holder without an answer", 0, false, true, {node_id("a")}, hop_kind::forward, "b"},
+    {"all holders without an answer", 0, false, true, {node_id("a"), node_id("b")}, hop_kind::forward, "d"},
+    {"unknown holders", 0, false, false, {}, hop_kind::forward, "d"},
+    {"nobody left", 0, false, true, {node_id("a"), node_id("b"), node_id("d")}, hop_kind::refuse, ""},
+};
+
+hop_question questionOf(const hop_case &row, const permit_record &record)
+{
+    const auto member = [](const char *name) { return placement_member{node_id(name), incarnation(1), failure_domain_id(name), 1.0, name}; };
+    return {node_id("self"),
+            request_id("r-1"),
+            row.forwarded,
+            {row.usableSlots, 5},
+            row.recordKnown ? &record : nullptr,
+            {member("d"), member("self")},
+            {member("a"), member("b"), member("c"), member("d"), member("self")},
+            row.avoided};
+}
+
+// "c" is a standby, "dead" is not live, and this node's own share is not usable.
+const permit_record RECORD(4,
+                           {{node_id("a"), incarnation(1), {1, 5}},
+                            {node_id("b"), incarnation(1), {3, 15}},
+                            {node_id("c"), incarnation(1), {}},
+                            {node_id("dead"), incarnation(1), {9, 9}},
+                            {node_id("self"), incarnation(1), {1, 5}}});
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(hop_router_tests)
+
+// Guards against second hops, hops to nodes without permits, and refusals while a holder can be reached.
+BOOST_DATA_TEST_CASE(decidesByPermits, HOP_CASES)
+{
+    const auto decision = routeHop(questionOf(sample, RECORD));
+    BOOST_TEST((decision.kind == sample.kind));
+    BOOST_TEST((decision.target ? decision.target->id.str() : std::string()) == sample.target);
+}
+
+// Guards against one holder that gets all forwarded queries: they follow the slots, 1 to 3.
+BOOST_AUTO_TEST_CASE(forwardsFollowTheSlots)
+{
+    auto question = questionOf({"", 0, false, true, {}, hop_kind::forward, ""}, RECORD);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 4000; ++i) {
+        question.request = request_id(std::to_string(i));
+        ++counts[routeHop(question).target->id.str()];
+    }
+    BOOST_TEST(counts["a"] + counts["b"] == 4000);
+    BOOST_TEST(std::abs(counts["a"] - 1000) < 150);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
