--- a/http/sub_request.h
+++ b/http/sub_request.h
@@ -32,6 +32,7 @@
     bool reusedConnection = false;
     /** How often the request went out: the HTTP library repeats it when a reused connection closes without a response. */
     unsigned transmissions = 0;
+    std::chrono::microseconds elapsed{0}; ///< From the start of the sub-request to its end.
 };
 
 } // namespace snipefall
--- a/node/account_keeper.cpp
+++ b/node/account_keeper.cpp
@@ -12,10 +12,9 @@
 
 }
 
-account_keeper::account_keeper(node_id node, incarnation nodeIncarnation, read_function read, write_function write)
+account_keeper::account_keeper(node_id node, incarnation nodeIncarnation, calls run)
     : m_node(node)
-    , m_read(std::move(read))
-    , m_write(std::move(write))
+    , m_run(std::move(run))
 {
     for (part &entry : m_parts) {
         entry.account = node_account(node, nodeIncarnation, wallClockMs());
@@ -35,6 +34,7 @@
 
 void account_keeper::add(const answer_record &record)
 {
+    m_run.observe(record);
     part &home = partOf(record.service);
     const std::lock_guard lock(home.mutex);
     home.account.add(record);
@@ -87,7 +87,7 @@
     for (int attempt = 0; attempt < MAX_SAVE_ATTEMPTS; ++attempt) {
         json accounts = entry.older;
         accounts.push_back(account.toJson());
-        const outcome<object_version> written = m_write(keyOf(index), accounts.dump(), entry.stored);
+        const outcome<object_version> written = m_run.write(keyOf(index), accounts.dump(), entry.stored);
         if (written) {
             entry.stored = *written;
             return {};
@@ -97,7 +97,7 @@
             break;
         }
         // The object was written by an earlier incarnation, or by a write of this one whose response was lost.
-        const outcome<object> current = m_read(keyOf(index));
+        const outcome<object> current = m_run.read(keyOf(index));
         if (!current) {
             problem = current.reason().message;
             break;
--- a/node/account_keeper.h
+++ b/node/account_keeper.h
@@ -20,10 +20,14 @@
 class account_keeper
 {
 public:
-    using write_function = std::function<outcome<object_version>(const std::string &key, const std::string &value, object_version expected)>;
-    using read_function = std::function<outcome<object>(const std::string &key)>;
+    struct calls
+    {
+        std::function<outcome<object>(const std::string &key)> read;
+        std::function<outcome<object_version>(const std::string &key, const std::string &value, object_version expected)> write;
+        std::function<void(const answer_record &)> observe; ///< Told of each answer, for the metrics.
+    };
 
-    account_keeper(node_id node, incarnation nodeIncarnation, read_function read, write_function write);
+    account_keeper(node_id node, incarnation nodeIncarnation, calls run);
 
     void add(const answer_record &record);
     /** Marks that this node gives the service no more answers. */
@@ -52,8 +56,7 @@
     part &partOf(const service_id &service);
 
     const node_id m_node;
-    read_function m_read;
-    write_function m_write;
+    const calls m_run;
     std::array<part, PARTS> m_parts;
 };
 
--- a/node/caller_api.cpp
+++ b/node/caller_api.cpp
@@ -5,6 +5,7 @@
 #include "node/api_responses.h"
 #include "node/entry_service.h"
 #include "node/execute_service.h"
+#include "node/hop_forwarder.h"
 #include "node/query_service.h"
 
 namespace snipefall {
@@ -39,8 +40,9 @@
 
 } // namespace
 
-caller_api::caller_api(entry_service &entries, query_service &queries, execute_service &executions)
+caller_api::caller_api(const entry_service &entries, const hop_forwarder &hops, query_service &queries, execute_service &executions)
     : m_entries(entries)
+    , m_hops(hops)
     , m_queries(queries)
     , m_executions(executions)
 {
@@ -65,6 +67,10 @@
         const std::size_t slash = rest.find('/');
         const service_id service{std::string(rest.substr(0, slash))};
         const std::string_view action = slash == std::string_view::npos ? std::string_view() : rest.substr(slash + 1);
+        const bool known = action == "query" || action == "execute";
+        if (known && request.method == "POST" && m_hops.shouldForward(service, request)) {
+            return m_hops.forward(service, request);
+        }
         if (action == "query") {
             return request.method == "POST" ? m_queries.handle(service, request) : methodNotAllowed("POST");
         }
--- a/node/caller_api.h
+++ b/node/caller_api.h
@@ -11,13 +11,14 @@
 
 class entry_service;
 class execute_service;
+class hop_forwarder;
 class query_service;
 
 /** The routes for callers. */
 class caller_api
 {
 public:
-    caller_api(entry_service &entries, query_service &queries, execute_service &executions);
+    caller_api(const entry_service &entries, const hop_forwarder &hops, query_service &queries, execute_service &executions);
 
     http_response handle(const http_request &request);
 
@@ -29,7 +30,8 @@
 private:
     http_response route(const http_request &request);
 
-    entry_service &m_entries;
+    const entry_service &m_entries;
+    const hop_forwarder &m_hops;
     query_service &m_queries;
     execute_service &m_executions;
     std::atomic<bool> m_draining{false};
--- a/node/hop_forwarder.cpp
+++ b/node/hop_forwarder.cpp
@@ -9,28 +9,29 @@
 
 constexpr const char *HOP_HEADER = "Snipefall-Hop";
 constexpr long CONNECT_TIMEOUT_MS = 300;
+// Longer than the longest deadline of a request, which the holder keeps.
+constexpr long FORWARD_TIMEOUT_MS = 61000;
 
 } // namespace
 
-hop_forwarder::hop_forwarder(holders_function holders, permit_function holdsPermits)
-    : m_holders(std::move(holders))
-    , m_holdsPermits(std::move(holdsPermits))
+hop_forwarder::hop_forwarder(route_function route)
+    : m_route(std::move(route))
 {
 }
 
 bool hop_forwarder::shouldForward(const service_id &service, const http_request &request) const
 {
-    return request.header(HOP_HEADER).empty() && !m_holdsPermits(service);
+    return m_route(service, request_id(request.header("Request-Id")), !request.header(HOP_HEADER).empty(), {}).kind != hop_kind::serve;
 }
 
-http_response hop_forwarder::forward(const service_id &service, const http_request &request, long timeoutMs) const
+http_response hop_forwarder::forward(const service_id &service, const http_request &request) const
 {
     http_call call;
     call.method = request.method;
     call.target = request.path;
     call.body = request.body;
     call.connectTimeoutMs = CONNECT_TIMEOUT_MS;
-    call.timeoutMs = timeoutMs;
+    call.timeoutMs = FORWARD_TIMEOUT_MS;
     call.headers = {{HOP_HEADER, "1"}, {"Content-Type", "application/json"}};
     for (const char *name : {"Request-Id", "Caller", "Traceparent"}) {
         const std::string value = request.header(name);
@@ -38,8 +39,13 @@
             call.headers.push_back({name, value});
         }
     }
-    for (const std::string &address : m_holders(service)) {
-        call.address = address;
+    std::set<node_id> avoided;
+    for (;;) {
+        const hop_decision decision = m_route(service, request_id(request.header("Request-Id")), !request.header(HOP_HEADER).empty(), avoided);
+        if (decision.kind != hop_kind::forward) {
+            break;
+        }
+        call.address = decision.target->callerAddress;
         const http_call_result result = executeHttpCall(call);
         if (result.status == transport_status::ok) {
             return result.response;
@@ -47,6 +53,7 @@
         if (result.mayHaveReachedServer) {
             return errorResponse(503, error_code::unknown_result, "the node that holds the permits gave no answer: " + result.message, run_state::unknown);
         }
+        avoided.insert(decision.target->id);
     }
     return errorResponse(503, error_code::unavailable, "no node holds permits of service " + service.str(), run_state::not_run);
 }
--- a/node/hop_forwarder.h
+++ b/node/hop_forwarder.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <functional>
-#include <string>
-#include <vector>
+#include <set>
 
 #include "core/ids.h"
 #include "http/http_request.h"
 #include "http/http_response.h"
+#include "policy/hop_router.h"
 
 namespace snipefall {
 
@@ -18,12 +18,12 @@
 class hop_forwarder
 {
 public:
-    using holders_function = std::function<std::vector<std::string>(const service_id &)>;
-    using permit_function = std::function<bool(const service_id &)>;
+    /** Decides where a request goes; @p avoided are nodes that could not be connected to just now. */
+    using route_function = std::function<hop_decision(const service_id &service, const request_id &request, bool forwarded, const std::set<node_id> &avoided)>;
 
-    hop_forwarder(holders_function holders, permit_function holdsPermits);
+    explicit hop_forwarder(route_function route);
 
-    /** Whether this node must pass the request on. A request that was passed on once is never passed on again. */
+    /** Whether this node has no permits of the service. A request that was passed on once is never passed on again, but refused. */
     bool shouldForward(const service_id &service, const http_request &request) const;
 
     /**
@@ -31,11 +31,10 @@
      *
      * Another holder is tried only if nothing was sent. Each attempt uses a new connection, so a request goes out at most once.
      */
-    http_response forward(const service_id &service, const http_request &request, long timeoutMs) const;
+    http_response forward(const service_id &service, const http_request &request) const;
 
 private:
-    holders_function m_holders;
-    permit_function m_holdsPermits;
+    route_function m_route;
 };
 
 } // namespace snipefall
--- a/node/node.h
+++ b/node/node.h
@@ -27,10 +27,10 @@
     void stop();
 
 private:
-    struct parts;
+    struct running_state;
 
     const node_settings m_settings;
-    std::unique_ptr<parts> m_parts;
+    std::unique_ptr<running_state> m_running;
 };
 
 } // namespace snipefall
--- /dev/null
+++ b/node/node_parts.cpp
@@ -0,0 +1,343 @@
+#include "node/node_parts.h"
+
+#include <algorithm>
+#include <random>
+
+#include <fmt/format.h>
+
+#include "core/logger.h"
+#include "node/api_responses.h"
+#include "policy/placement.h"
+
+namespace snipefall {
+
+namespace {
+
+constexpr duration LEAVING_SERVER_LIFETIME = std::chrono::minutes(10);
+// Nodes that don't watch the platform for their failure domain read the log this much less often; peers tell them of changes.
+constexpr int CONFIGURATION_IDLE_FACTOR = 10;
+
+std::uint64_t randomSeed()
+{
+    std::random_device random;
+    return (static_cast<std::uint64_t>(random()) << 32) | random();
+}
+
+} // namespace
+
+node_parts::node_parts(const node_settings &nodeSettings)
+    : settings(nodeSettings)
+    , ownIncarnation(wallClockMs())
+    , httpStore(http_object_store_options{settings.platformAddress})
+    , store(httpStore, call_budget_options(), randomSeed())
+    , log(store)
+    , claims(store, claim_log_options{{settings.id, ownIncarnation}, randomSeed(), [] { return wallClockMs(); }})
+    , accounts(settings.id,
+               ownIncarnation,
+               {[this](const std::string &key) { return store.read(call_purpose::account, key); },
+                [this](const std::string &key, const std::string &value, object_version expected) {
+                    return store.write(call_purpose::account, key, value, expected);
+                },
+                [this](const answer_record &record) { metrics.countAnswer(record); }})
+    , configurations(replica, {[this] { return log.load(); }, [this](config_version version) { return log.readAfter(version); }})
+    , peers(settings, ownIncarnation, replica, configurations)
+    , quarantine(peers)
+    , permits(settings.id,
+              ownIncarnation,
+              replica,
+              peers,
+              {[this](const std::string &prefix) { return store.list(call_purpose::permit, prefix); },
+               [this](const std::string &key, const std::string &value, object_version expected) {
+                   return store.write(call_purpose::permit, key, value, expected);
+               }},
+              [this](const service_id &service) { return largestUse(service); })
+    , moves(
+          settings.id,
+          replica,
+          peers,
+          {[this](const std::string &prefix) { return store.list(call_purpose::move, prefix); },
+           [this](const std::string &key) { return store.read(call_purpose::move, key); },
+           [this](const std::string &key, const std::string &value, object_version expected) { return store.write(call_purpose::move, key, value, expected); }},
+          [this](const service_id &service, const version_id &version) { return warmUp(service, version); })
+    , engine(settings.ioThreads)
+    , topology(topologies, engine, [this] { return store.listVms(); })
+    , crashes(engine, quarantine, [this](const backend_server_id &id) { return topology.identityOf(id); })
+    , dispatcher(
+          engine,
+          [this](const service_id &service) { return permits.usable(service); },
+          [this](const backend_server_id &id, const sub_response &response) { observeResponse(id, response); })
+    , environment{dispatcher, engine, quarantine, crashes, moves}
+    , entries(replica, [this](const service_id &service) { return entriesOf(service); })
+    , hops([this](const service_id &service, const request_id &request, bool forwarded, const std::set<node_id> &avoided) {
+        if (replica.current()->services.count(service) == 0) {
+            // The services answer for unknown names themselves.
+            return hop_decision{hop_kind::serve, std::nullopt};
+        }
+        return permits.route(service, request, forwarded, avoided);
+    })
+    , queries(fmt::format("{}-{}", settings.id.str(), ownIncarnation.value()),
+              replica,
+              topologies,
+              environment,
+              accounts,
+              [this](const service_id &service) { return permits.usable(service); })
+    , executions(replica,
+                 topologies,
+                 environment,
+                 accounts,
+                 {[this](const service_id &service, const request_id &request) { return claims.claim(service, request); },
+                  [this](const service_id &service, const request_id &request, object_version token, claim_state state, const std::string &body) {
+                      const outcome<claim_state> recorded = claims.recordResult(service, request, token, state, body);
+                      if (!recorded) {
+                          logWarning("claim.not_recorded", {{"request", request.str()}, {"reason", recorded.reason().message}});
+                      }
+                  }})
+    , callers(entries, hops, queries, executions)
+    , operators(replica,
+                tokens,
+                {[this](const configuration_patch &patch) { return commit(patch); },
+                 [this] { return status(); },
+                 [this] { return ready(); },
+                 [this] { return metricsText(); }})
+{
+    peers.onFact([this](const fact &news) { handleFact(news); });
+    configurations.onChange([this](config_version version) {
+        peers.announceConfiguration(version, false);
+        for (const service_id &service : topologies.keys()) {
+            applyTopology(service);
+        }
+    });
+    topology.setFilter([this](const service_id &service) { return usesService(service); });
+    topology.onChange([this](const service_id &service) { applyTopology(service); });
+    topology.onNodes([this](std::set<node_id> nodes) { peers.setListedNodes(std::move(nodes)); });
+    topology.onLeaving([this](const backend_server &server) {
+        peers.publish(fact_kind::leaving_server, "leaving/" + server.id.str(), server.id.str(), LEAVING_SERVER_LIFETIME);
+    });
+    permits.onGrowth([this](const service_id &service) {
+        if (const auto found = topologies.find(service); found && *found) {
+            for (const backend_server &server : (*found)->servers) {
+                dispatcher.offerSlots(server.id);
+            }
+        }
+    });
+    addMoveRoutes();
+}
+
+bool node_parts::ready() const
+{
+    return configurations.ready() && !stopping;
+}
+
+json node_parts::status()
+{
+    json members = json::array();
+    for (const member &peer : peers.members()) {
+        members.push_back({{"node", peer.id.str()},
+                           {"domain", peer.domain.str()},
+                           {"state", toString(peer.state)},
+                           {"callers", peer.callerAddress},
+                           {"configuration_version", peer.configVersion.value()}});
+    }
+    json held = json::object();
+    for (const auto &[service, unused] : replica.current()->services) {
+        if (const permit_share share = permits.usable(service); share.slots > 0) {
+            held[service.str()] = share.slots;
+        }
+    }
+    return {{"node", settings.id.str()},
+            {"incarnation", ownIncarnation.value()},
+            {"domain", settings.domain.str()},
+            {"ready", ready()},
+            {"stopping", stopping.load()},
+            {"configuration_version", replica.position().version.value()},
+            {"configuration_digest", replica.position().digest},
+            {"running_requests", callers.running()},
+            {"quarantined_requests", quarantine.quarantinedCount()},
+            {"permits", std::move(held)},
+            {"members", std::move(members)}};
+}
+
+std::string node_parts::metricsText()
+{
+    metrics.setGauge("configuration_version", static_cast<double>(replica.position().version.value()));
+    metrics.setGauge("open_connections", static_cast<double>(engine.openConnections()));
+    metrics.setGauge("quarantined_requests", static_cast<double>(quarantine.quarantinedCount()));
+    metrics.setGauge("running_requests", static_cast<double>(callers.running()));
+    metrics.setGauge("live_members", static_cast<double>(peers.clusterView()->live.size()));
+    for (int purpose = 0; purpose <= static_cast<int>(call_purpose::account); ++purpose) {
+        metrics.setPlatformCalls(static_cast<call_purpose>(purpose), store.counts(static_cast<call_purpose>(purpose)));
+    }
+    return metrics.text();
+}
+
+commit_result node_parts::commit(const configuration_patch &patch)
+{
+    commit_result result = log.commit(patch);
+    if (result.status == commit_result::kind::applied) {
+        configurations.step();
+        peers.announceConfiguration(replica.position().version, true);
+    }
+    logInfo("configuration.patch", {{"patch", patch.id.str()}, {"author", patch.author}, {"result", result.message}});
+    return result;
+}
+
+void node_parts::stepConfiguration()
+{
+    peers.pullConfigurations();
+    const std::int64_t now = std::chrono::duration_cast<std::chrono::milliseconds>(system_clock().now().time_since_epoch()).count();
+    const std::int64_t interval = settings.configurationInterval.count() * (peers.watchesPlatform() || !configurations.ready() ? 1 : CONFIGURATION_IDLE_FACTOR);
+    // A pull may have been the reason of this step; the platform is read at its own pace.
+    if (now - m_lastConfigurationRead >= interval) {
+        m_lastConfigurationRead = now;
+        configurations.step();
+    }
+}
+
+void node_parts::stepTopology()
+{
+    store.setNodes(static_cast<std::uint32_t>(std::max<std::size_t>(1, peers.clusterView()->live.size())));
+    topology.step();
+    quarantine.tick();
+}
+
+void node_parts::stepPermits()
+{
+    permits.step();
+}
+
+void node_parts::stepMoves()
+{
+    moves.step();
+}
+
+void node_parts::stepFaults()
+{
+    moves.detectFaults();
+}
+
+void node_parts::stepAccounts()
+{
+    const std::string problem = accounts.save();
+    if (!problem.empty()) {
+        logWarning("account.save_failed", {{"reason", problem}});
+    }
+}
+
+void node_parts::observeResponse(const backend_server_id &id, const sub_response &response)
+{
+    if (response.status == transport_status::connect_failed) {
+        topology.refresh(id);
+    } else if (response.status == transport_status::ok && response.httpStatus == 503) {
+        topology.markLeaving(id);
+    }
+}
+
+void node_parts::handleFact(const fact &news)
+{
+    switch (news.kind) {
+    case fact_kind::bad_version:
+        moves.handleFact(news);
+        break;
+    case fact_kind::suspected_request:
+        quarantine.handleFact(news);
+        break;
+    case fact_kind::leaving_server:
+        topology.markLeaving(backend_server_id(news.payload));
+        break;
+    default:
+        break;
+    }
+}
+
+void node_parts::applyTopology(const service_id &service)
+{
+    const auto found = topologies.find(service);
+    if (!found || !*found) {
+        return;
+    }
+    const auto config = replica.current();
+    for (const backend_server &server : (*found)->servers) {
+        dispatcher.updateServer(server, config->domainsOut.count(server.domain) > 0);
+    }
+}
+
+unsigned node_parts::largestUse(const service_id &service)
+{
+    unsigned largest = 0;
+    if (const auto found = topologies.find(service); found && *found) {
+        for (const backend_server &server : (*found)->servers) {
+            largest = std::max(largest, dispatcher.running(server.id));
+        }
+    }
+    return largest;
+}
+
+warm_up_state node_parts::warmUp(const service_id &service, const version_id &version)
+{
+    warm_up_state state;
+    if (const auto found = topologies.find(service); found && *found) {
+        for (const backend_server &server : (*found)->servers) {
+            if (server.version == version && !server.leaving) {
+                ++state.servers;
+                state.coldServers += dispatcher.isCold(server.id) ? 1 : 0;
+            }
+        }
+    }
+    return state;
+}
+
+std::vector<std::string> node_parts::entriesOf(const service_id &service)
+{
+    const auto config = replica.current();
+    const auto found = config->services.find(service);
+    return found == config->services.end() ? std::vector<std::string>() : entriesFor(service, peers.placementMembers(), found->second.slotsPerServer);
+}
+
+bool node_parts::usesService(const service_id &service)
+{
+    if (permits.usable(service).slots > 0) {
+        return true;
+    }
+    const std::vector<placement_member> placed = placeService(service, peers.placementMembers(), MAX_HOLDERS);
+    return std::any_of(placed.begin(), placed.end(), [this](const placement_member &peer) { return peer.id == settings.id; });
+}
+
+void node_parts::addMoveRoutes()
+{
+    operators.addRoute("GET", "/v1/moves/", [this](const http_request &, const std::string &rest, const std::string &) {
+        const json move = moves.describe(service_id(rest));
+        return move.is_null() ? errorResponse(404, error_code::not_found, "no move of service " + rest, run_state::not_run) : jsonResponse(move);
+    });
+    operators.addRoute("POST", "/v1/moves/", [this](const http_request &request, const std::string &rest, const std::string &operatorName) {
+        const outcome<json> body = parseJson(request.body);
+        if (!body || !body->is_object()) {
+            return errorResponse(400, error_code::invalid_argument, "the body must be a JSON object", run_state::not_run);
+        }
+        const std::size_t slash = rest.find('/');
+        const service_id service(rest.substr(0, slash));
+        const std::string author = operatorName == "anonymous" ? jsonValue<std::string>(*body, "author", operatorName) : operatorName;
+        const std::string reason = jsonValue<std::string>(*body, "reason", "");
+        outcome<move_record> record = failure{error_code::not_found, "the path must end in /rollback or in the service"};
+        if (slash == std::string::npos) {
+            const auto config = replica.current();
+            const auto found = config->services.find(service);
+            move_request asked;
+            asked.moveId = jsonValue<std::string>(*body, "move_id", "");
+            asked.service = service;
+            asked.from = found == config->services.end() ? version_id() : found->second.version;
+            asked.to = version_id(jsonValue<std::string>(*body, "to", ""));
+            asked.firstSharePercent = jsonValue<std::uint32_t>(*body, "first_share_percent", 5);
+            asked.deadlineMs = wallClockMs() + jsonValue<std::uint64_t>(*body, "deadline_in_ms", 0);
+            asked.observationMs = jsonValue<std::uint64_t>(*body, "observation_ms", 60000);
+            asked.author = author;
+            asked.reason = reason;
+            record = moves.start(asked);
+        } else if (rest.substr(slash) == "/rollback") {
+            record = moves.rollBack(service, author, reason);
+        }
+        return record ? jsonResponse(toJson(*record))
+                      : errorResponse(httpStatusOf(record.reason().code), record.reason().code, record.reason().message, run_state::not_run);
+    });
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/node/node_parts.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <atomic>
+#include <optional>
+#include <vector>
+
+#include "blackboard/topology_board.h"
+#include "core/configuration_replica.h"
+#include "http/fan_out_engine.h"
+#include "http/http_server.h"
+#include "node/account_keeper.h"
+#include "node/caller_api.h"
+#include "node/configuration_controller.h"
+#include "node/controller_thread.h"
+#include "node/crash_detector.h"
+#include "node/entry_service.h"
+#include "node/execute_service.h"
+#include "node/hop_forwarder.h"
+#include "node/move_manager.h"
+#include "node/node_metrics.h"
+#include "node/node_settings.h"
+#include "node/operator_api.h"
+#include "node/peer_controller.h"
+#include "node/permit_controller.h"
+#include "node/quarantine_controller.h"
+#include "node/query_environment.h"
+#include "node/query_service.h"
+#include "node/sub_request_dispatcher.h"
+#include "node/token_table.h"
+#include "node/topology_controller.h"
+#include "platform/budgeted_object_store.h"
+#include "platform/claim_log.h"
+#include "platform/configuration_log.h"
+#include "platform/http_object_store.h"
+
+namespace snipefall {
+
+/** The parts of a node and the calls between them. Members are listed in the order of their dependence. */
+class node_parts
+{
+public:
+    explicit node_parts(const node_settings &nodeSettings);
+
+    bool ready() const;
+    json status();
+    std::string metricsText();
+    commit_result commit(const configuration_patch &patch);
+
+    /** Steps of the controller threads. */
+    void stepConfiguration();
+    void stepTopology();
+    void stepPermits();
+    void stepMoves();
+    void stepFaults();
+    void stepAccounts();
+
+    using store_type = budgeted_object_store<http_object_store>;
+
+    const node_settings &settings;
+    const incarnation ownIncarnation;
+    std::atomic<bool> stopping{false};
+    http_object_store httpStore;
+    store_type store;
+    configuration_log<store_type> log;
+    claim_log<store_type> claims;
+    configuration_replica replica;
+    topology_board topologies;
+    node_metrics metrics;
+    account_keeper accounts;
+    configuration_controller configurations;
+    peer_controller peers;
+    quarantine_controller quarantine;
+    permit_controller permits;
+    move_manager moves;
+    // The engine ends its threads before the parts that their completions use.
+    fan_out_engine engine;
+    topology_controller topology;
+    crash_detector crashes;
+    sub_request_dispatcher dispatcher;
+    query_environment environment;
+    entry_service entries;
+    hop_forwarder hops;
+    query_service queries;
+    execute_service executions;
+    caller_api callers;
+    token_table tokens;
+    operator_api operators;
+
+private:
+    void observeResponse(const backend_server_id &id, const sub_response &response);
+    void handleFact(const fact &news);
+    void applyTopology(const service_id &service);
+    unsigned largestUse(const service_id &service);
+    warm_up_state warmUp(const service_id &service, const version_id &version);
+    std::vector<std::string> entriesOf(const service_id &service);
+    bool usesService(const service_id &service);
+    void addMoveRoutes();
+
+    std::atomic<std::int64_t> m_lastConfigurationRead{0};
+};
+
+} // namespace snipefall
--- a/node/permit_controller.cpp
+++ b/node/permit_controller.cpp
@@ -102,32 +102,28 @@
     return (*entry)->holder.usable(system_clock().now());
 }
 
-std::vector<std::string> permit_controller::holderAddresses(const service_id &service) const
+hop_decision permit_controller::route(const service_id &service, const request_id &request, bool forwarded, const std::set<node_id> &avoided) const
 {
-    std::vector<std::string> addresses;
-    std::vector<permit_entry> ring;
+    hop_question question;
+    question.self = m_self;
+    question.request = request;
+    question.forwarded = forwarded;
+    question.usable = usable(service);
+    question.avoided = avoided;
+    if (question.usable.slots > 0) {
+        return routeHop(question);
+    }
+    std::optional<permit_record> record;
     if (const auto entry = m_services.find(service); entry && *entry) {
         const std::lock_guard lock((*entry)->mutex);
         if ((*entry)->holder.permits()) {
-            ring = (*entry)->holder.permits()->record.ring();
-        }
-    }
-    const std::vector<placement_member> members = m_peers.placementMembers();
-    for (const permit_entry &holder : ring) {
-        const auto found = std::find_if(members.begin(), members.end(), [&holder](const placement_member &peer) { return peer.id == holder.node; });
-        if (found != members.end() && holder.node != m_self && holder.share.slots > 0) {
-            addresses.push_back(found->callerAddress);
-        }
-    }
-    // Without a record, for example on a node that never had a part in the service, the placement names the nodes that should hold the permits.
-    if (addresses.empty()) {
-        for (const placement_member &placed : placeService(service, members, MAX_HOLDERS)) {
-            if (placed.id != m_self) {
-                addresses.push_back(placed.callerAddress);
-            }
+            record = (*entry)->holder.permits()->record;
         }
     }
-    return addresses;
+    question.record = record ? &*record : nullptr;
+    question.live = m_peers.placementMembers();
+    question.placed = placeService(service, question.live, MAX_HOLDERS);
+    return routeHop(question);
 }
 
 void permit_controller::step()
--- a/node/permit_controller.h
+++ b/node/permit_controller.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "core/ids.h"
 #include "core/outcome.h"
 #include "platform/object.h"
+#include "policy/hop_router.h"
 #include "policy/permit_action.h"
 #include "policy/permit_share.h"
 #include "policy/placement_member.h"
@@ -48,8 +50,8 @@
     /** What this node may use of each backend server of @p service now. */
     permit_share usable(const service_id &service) const;
 
-    /** The caller addresses of the nodes that hold permits of @p service, this node's left out; for the one hop to a holder. */
-    std::vector<std::string> holderAddresses(const service_id &service) const;
+    /** Where a request of a service goes. */
+    hop_decision route(const service_id &service, const request_id &request, bool forwarded, const std::set<node_id> &avoided) const;
 
 private:
     struct service_entry;
--- a/node/query_service.cpp
+++ b/node/query_service.cpp
@@ -8,6 +8,9 @@
 #include "core/logger.h"
 #include "node/account_keeper.h"
 #include "node/api_responses.h"
+#include "node/move_manager.h"
+#include "node/quarantine_controller.h"
+#include "node/query_environment.h"
 #include "node/query_runner.h"
 #include "node/service_runtime.h"
 #include "policy/latency_key.h"
@@ -21,6 +24,8 @@
 constexpr std::uint32_t MAX_DEADLINE_MS = 60000;
 // Before this many samples the hedge delay is the fallback; a p95 of fewer samples is the maximum of a handful.
 constexpr std::uint64_t MIN_LATENCY_SAMPLES = 50;
+// Bounds the number of routes whose counts a move compares.
+constexpr std::size_t MAX_ROUTE_LENGTH = 40;
 constexpr duration FALLBACK_HEDGE_DELAY = std::chrono::milliseconds(50);
 
 json coverageToJson(const coverage &covered)
@@ -43,7 +48,11 @@
     service_id service;
     version_id version;
     request_id request;
+    caller_id caller;
+    std::string route;
     std::string query;
+    request_fingerprint fingerprint;
+    request_standing standing = request_standing::unknown;
     std::uint32_t callerDeadlineMs = 0;
     service_settings settings;
     std::shared_ptr<const configuration> config;
@@ -54,15 +63,15 @@
 query_service::query_service(std::string nodeTag,
                              const configuration_replica &configurations,
                              topology_board &topologies,
-                             sub_request_dispatcher &dispatcher,
-                             fan_out_engine &engine,
-                             account_keeper &accounts)
+                             query_environment &environment,
+                             account_keeper &accounts,
+                             share_function share)
     : m_nodeTag(std::move(nodeTag))
     , m_configurations(configurations)
     , m_topologies(topologies)
-    , m_dispatcher(dispatcher)
-    , m_engine(engine)
+    , m_environment(environment)
     , m_accounts(accounts)
+    , m_share(std::move(share))
 {
 }
 
@@ -106,104 +115,136 @@
     query.service = service;
     query.request = record.request;
     query.query = (*body)["query"].dump();
+    query.route = jsonValue<std::string>(*body, "route", "query").substr(0, MAX_ROUTE_LENGTH);
+    query.caller = caller_id(request.header("Caller"));
     query.callerDeadlineMs = deadline.get<std::uint32_t>();
-    query.version = query.settings.version;
-    query.runtime = runtimeOf(service);
+    query.fingerprint = fingerprintOf(service, query.route, query.query);
+    query.standing = m_environment.quarantine.standing(query.fingerprint);
+    if (query.standing == request_standing::quarantined) {
+        return errorResponse(422, error_code::quarantined, "requests like this one crashed backend servers", run_state::not_run);
+    }
+    query.version = m_environment.moves.versionFor(service, query.settings.version, record.request.str());
+    query.runtime = runtimeOf(service, query.settings.maxQueuedQueries);
     record.version = query.version;
-    return runPlanned(query, record);
+    return runAdmitted(query, record);
+}
+
+http_response query_service::runAdmitted(const parsed_query &query, answer_record &record)
+{
+    const time_point deadline = query.received + std::chrono::milliseconds(std::min(query.callerDeadlineMs, query.settings.deadlineMs));
+    if (!query.runtime->admission.enter(query.caller, deadline)) {
+        return errorResponse(429, error_code::overloaded, "the service is at its capacity; the query was not started", run_state::not_run);
+    }
+    const time_point started = system_clock().now();
+    http_response response = runPlanned(query, record);
+    query.runtime->admission.leave(query.caller, system_clock().now() - started);
+    return response;
 }
 
 http_response query_service::runPlanned(const parsed_query &query, answer_record &record)
 {
-    snapshot_id newerThan;
-    query_task task = makeTask(query, newerThan);
+    query_task task = makeTask(query, snapshot_id());
     if (task.planned.empty()) {
         return errorResponse(503, error_code::unavailable, "no backend server of version " + query.version.str() + " holds a snapshot", run_state::not_run);
     }
-    const time_point deadline = query.received + task.options.deadline;
+    // A request that was near a crash never runs on the last server.
+    if (query.standing == request_standing::suspected && task.planned.plan->servers.size() < 2) {
+        return errorResponse(422, error_code::quarantined, "a request like this one was near a crash, and only one backend server is left", run_state::not_run);
+    }
+    const time_point deadline = query.received + std::chrono::milliseconds(std::min(query.callerDeadlineMs, query.settings.deadlineMs));
     for (std::uint32_t restarts = 0;; ++restarts) {
+        task.options.deadline = std::max(duration(1), deadline - system_clock().now());
         record.snapshot = task.planned.plan->snapshot;
-        const auto runner = std::make_shared<query_runner>(task, *query.runtime, m_dispatcher, m_engine);
-        query_result result = runner->run();
+        const auto runner = std::make_shared<query_runner>(task, *query.runtime, m_environment);
+        const query_result result = runner->run();
         record.firstSubRequests += result.firstSubRequests;
         record.extraSubRequests += result.extraSubRequests;
         if (result.outcome) {
-            const coverage &covered = result.outcome->covered;
-            record.itemsSeen = covered.itemsSeen;
-            record.itemsTotal = covered.itemsTotal;
-            if (result.outcome->status == query_status::below_min_coverage) {
-                record.outcome = answer_outcome::failed;
-                json refusal = {{"error", {{"code", "deadline_exceeded"}, {"message", "the answer is below the service's least coverage"}, {"ran", "ran"}}},
-                                {"coverage", coverageToJson(covered)}};
-                return jsonResponse(refusal, 504);
-            }
-            record.outcome = result.outcome->status == query_status::complete ? answer_outcome::complete : answer_outcome::partial;
-            // The results are JSON texts of the backend servers; joining them as text avoids parsing them a second time.
-            std::string text = R"({"service":)" + json(query.service.str()).dump() + R"(,"version":)" + json(query.version.str()).dump() + R"(,"snapshot":)"
-                + json(record.snapshot.str()).dump() + R"(,"coverage":)" + coverageToJson(covered).dump() + R"(,"results":[)";
-            bool first = true;
-            for (const std::optional<std::string> &shard : result.outcome->results) {
-                if (!shard || shard->size() <= 2) {
-                    continue;
-                }
-                text += first ? "" : ",";
-                text.append(*shard, 1, shard->size() - 2);
-                first = false;
-            }
-            http_response response;
-            response.body = std::move(text) + "]}";
-            return response;
+            return makeAnswer(query, *result.outcome, record);
         }
-        newerThan = record.snapshot;
-        task = makeTask(query, newerThan);
+        task = makeTask(query, record.snapshot);
         task.options.restarted = true;
         task.options.restartsLeft = MAX_RESTARTS - std::min(MAX_RESTARTS, restarts + 1);
-        task.options.deadline = deadline - system_clock().now();
     }
 }
 
-query_task query_service::makeTask(const parsed_query &query, const snapshot_id &newerThan) const
+http_response query_service::makeAnswer(const parsed_query &query, const query_outcome &ended, answer_record &record) const
+{
+    const coverage &covered = ended.covered;
+    record.itemsSeen = covered.itemsSeen;
+    record.itemsTotal = covered.itemsTotal;
+    if (ended.status == query_status::below_min_coverage) {
+        record.outcome = answer_outcome::failed;
+        const json error = {{"code", "deadline_exceeded"}, {"message", "the answer is below the service's least coverage"}, {"ran", "ran"}};
+        return jsonResponse({{"error", error}, {"coverage", coverageToJson(covered)}}, 504);
+    }
+    record.outcome = ended.status == query_status::complete ? answer_outcome::complete : answer_outcome::partial;
+    // The results are JSON texts of the backend servers; joining them as text avoids parsing them a second time.
+    http_response response;
+    response.body = R"({"service":)" + json(query.service.str()).dump() + R"(,"version":)" + json(query.version.str()).dump() + R"(,"snapshot":)"
+        + json(record.snapshot.str()).dump() + R"(,"coverage":)" + coverageToJson(covered).dump() + R"(,"results":[)";
+    bool first = true;
+    for (const std::optional<std::string> &shard : ended.results) {
+        if (!shard || shard->size() <= 2) {
+            continue;
+        }
+        response.body += first ? "" : ",";
+        response.body.append(*shard, 1, shard->size() - 2);
+        first = false;
+    }
+    response.body += "]}";
+    return response;
+}
+
+query_task query_service::makeTask(const parsed_query &query, const snapshot_id &newerThan)
 {
     query_task task;
     task.service = query.service;
     task.version = query.version;
     task.request = query.request;
     task.nodeTag = m_nodeTag;
+    task.route = query.route;
     task.query = query.query;
-    const query_number number(const_cast<std::atomic<std::uint64_t> &>(m_lastQuery).fetch_add(1) + 1);
-    const auto topology = m_topologies.find(query.service);
-    planning_limits limits;
-    limits.version = query.version;
-    limits.domainsOut = &query.config->domainsOut;
-    limits.newerThan = newerThan;
-    limits.rotation = number.value();
-    if (topology && *topology) {
-        task.planned = planQuery((*topology)->servers, limits);
-    }
+    task.fingerprint = query.fingerprint;
+    const query_number number(++m_lastQuery);
+    task.planned = plan(query, newerThan, number.value());
     duration hedgeDelay = FALLBACK_HEDGE_DELAY;
     {
         const std::lock_guard lock(query.runtime->mutex);
         if (const auto estimate = query.runtime->latencies.estimate(latency_key{query.service, query.version}, MIN_LATENCY_SAMPLES)) {
             hedgeDelay = estimate->p95;
+            task.versionMedian = estimate->p50;
         }
     }
     task.options = makeQueryOptions(query.settings, number, query.callerDeadlineMs, hedgeDelay);
-    task.newerSnapshotExists = [this, query](const snapshot_id &pinned) {
-        const auto current = m_topologies.find(query.service);
-        planning_limits newer;
-        newer.version = query.version;
-        newer.domainsOut = &query.config->domainsOut;
-        newer.newerThan = pinned;
-        return current && *current && !planQuery((*current)->servers, newer).empty();
-    };
+    task.options.canary = query.standing == request_standing::unknown || query.standing == request_standing::suspected;
+    task.newerSnapshotExists = [this, query](const snapshot_id &pinned) { return !plan(query, pinned, 0).empty(); };
     return task;
 }
 
-std::shared_ptr<service_runtime> query_service::runtimeOf(const service_id &service)
+planned_query query_service::plan(const parsed_query &query, const snapshot_id &newerThan, std::uint64_t rotation) const
+{
+    const auto topology = m_topologies.find(query.service);
+    if (!topology || !*topology) {
+        return {};
+    }
+    planning_limits limits;
+    limits.version = query.version;
+    limits.domainsOut = &query.config->domainsOut;
+    limits.newerThan = newerThan;
+    limits.rotation = rotation;
+    return planQuery((*topology)->servers, limits);
+}
+
+std::shared_ptr<service_runtime> query_service::runtimeOf(const service_id &service, std::size_t maxQueued)
 {
-    return m_runtimes.update(service, [](std::shared_ptr<service_runtime> &runtime) {
+    return m_runtimes.update(service, [&](std::shared_ptr<service_runtime> &runtime) {
         if (!runtime) {
-            runtime = std::make_shared<service_runtime>();
+            runtime = std::make_shared<service_runtime>(maxQueued, [this, service] {
+                // One query more than slots keeps each server busy while the last shards of a query are on their way.
+                const std::uint32_t slots = m_share(service).slots;
+                return slots == 0 ? 0U : slots + 1;
+            });
         }
         return runtime;
     });
--- a/node/query_service.h
+++ b/node/query_service.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -10,14 +11,15 @@
 #include "http/http_request.h"
 #include "http/http_response.h"
 #include "policy/answer_record.h"
+#include "policy/permit_share.h"
+#include "policy/planned_query.h"
 
 namespace snipefall {
 
 class account_keeper;
 class configuration_replica;
-class fan_out_engine;
-class sub_request_dispatcher;
-struct query_result;
+struct query_environment;
+struct query_outcome;
 struct query_task;
 struct service_runtime;
 
@@ -25,12 +27,15 @@
 class query_service
 {
 public:
+    /** What this node may use of each backend server of a service at this time. */
+    using share_function = std::function<permit_share(const service_id &)>;
+
     query_service(std::string nodeTag,
                   const configuration_replica &configurations,
                   topology_board &topologies,
-                  sub_request_dispatcher &dispatcher,
-                  fan_out_engine &engine,
-                  account_keeper &accounts);
+                  query_environment &environment,
+                  account_keeper &accounts,
+                  share_function share);
 
     http_response handle(const service_id &service, const http_request &request);
 
@@ -38,16 +43,19 @@
     struct parsed_query;
 
     http_response answer(const service_id &service, const http_request &request, answer_record &record);
+    http_response runAdmitted(const parsed_query &query, answer_record &record);
     http_response runPlanned(const parsed_query &query, answer_record &record);
-    query_task makeTask(const parsed_query &query, const snapshot_id &newerThan) const;
-    std::shared_ptr<service_runtime> runtimeOf(const service_id &service);
+    http_response makeAnswer(const parsed_query &query, const query_outcome &ended, answer_record &record) const;
+    query_task makeTask(const parsed_query &query, const snapshot_id &newerThan);
+    planned_query plan(const parsed_query &query, const snapshot_id &newerThan, std::uint64_t rotation) const;
+    std::shared_ptr<service_runtime> runtimeOf(const service_id &service, std::size_t maxQueued);
 
     const std::string m_nodeTag;
     const configuration_replica &m_configurations;
     topology_board &m_topologies;
-    sub_request_dispatcher &m_dispatcher;
-    fan_out_engine &m_engine;
+    query_environment &m_environment;
     account_keeper &m_accounts;
+    share_function m_share;
     sharded_table<service_id, std::shared_ptr<service_runtime>> m_runtimes;
     std::atomic<std::uint64_t> m_lastQuery{0};
 };
--- a/node/topology_controller.cpp
+++ b/node/topology_controller.cpp
@@ -38,8 +38,13 @@
             servers.push_back(server);
         }
     }
+    // Servers are ordered by id, not by service, so the answers of the filter are kept for this step.
+    std::map<service_id, bool> used;
     for (const backend_server &server : servers) {
-        readStatus(server);
+        const auto known = used.find(server.service);
+        if (known != used.end() ? known->second : (used[server.service] = m_filter(server.service))) {
+            readStatus(server);
+        }
     }
 }
 
@@ -75,11 +80,13 @@
 void topology_controller::applyList(const std::vector<vm_entry> &vms)
 {
     std::set<service_id> changed;
+    std::set<node_id> nodes;
     {
         const std::lock_guard lock(m_mutex);
         std::set<backend_server_id> listed;
         for (const vm_entry &vm : vms) {
             if (vm.service.empty()) {
+                nodes.insert(node_id(vm.id));
                 continue;
             }
             const backend_server_id id(vm.id);
@@ -108,6 +115,7 @@
         }
     }
     publish(changed);
+    m_onNodes(std::move(nodes));
 }
 
 void topology_controller::readStatus(const backend_server &server)
@@ -130,7 +138,6 @@
 void topology_controller::applyStatus(const backend_server_id &id, const sub_response &response)
 {
     std::optional<backend_server> updated;
-    std::uint64_t oldStartedMs = 0;
     bool startsLeaving = false;
     {
         const std::lock_guard lock(m_mutex);
@@ -145,7 +152,6 @@
             logWarning("topology.bad_status", {{"server", id.str()}, {"reason", parsed.reason().message}});
             return;
         }
-        oldStartedMs = found->second.startedMs;
         if (*parsed == found->second) {
             return;
         }
@@ -154,9 +160,6 @@
         updated = *parsed;
     }
     publish({updated->service});
-    if (m_onRestart && oldStartedMs != 0 && oldStartedMs != updated->startedMs) {
-        m_onRestart(*updated, oldStartedMs);
-    }
     if (m_onLeaving && startsLeaving) {
         m_onLeaving(*updated);
     }
@@ -164,7 +167,7 @@
 
 void topology_controller::publish(const std::set<service_id> &services)
 {
-    const std::lock_guard lock(m_mutex);
+    std::unique_lock lock(m_mutex);
     for (const service_id &service : services) {
         auto topology = std::make_shared<service_topology>();
         for (const auto &[id, server] : m_servers) {
@@ -174,6 +177,17 @@
         }
         m_board.set(service, std::move(topology));
     }
+    lock.unlock();
+    for (const service_id &service : services) {
+        m_onChange(service);
+    }
+}
+
+crash_detector::server_identity topology_controller::identityOf(const backend_server_id &id)
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_servers.find(id);
+    return found == m_servers.end() ? crash_detector::server_identity() : crash_detector::server_identity{found->second.address, found->second.startedMs};
 }
 
 } // namespace snipefall
--- a/node/topology_controller.h
+++ b/node/topology_controller.h
@@ -12,6 +12,7 @@
 #include "core/backend_server.h"
 #include "core/outcome.h"
 #include "http/sub_request.h"
+#include "node/crash_detector.h"
 #include "platform/vm_entry.h"
 
 namespace snipefall {
@@ -27,15 +28,20 @@
 class topology_controller
 {
 public:
-    /** Tells that a server's process started anew; the old start time is never 0. */
-    using restart_callback = std::function<void(const backend_server &server, std::uint64_t oldStartedMs)>;
+    /** Whether this node sends work to a service, and so reads the status of its servers. */
+    using filter_function = std::function<bool(const service_id &)>;
+    using change_callback = std::function<void(const service_id &)>;
+    /** Told which nodes the VM list shows. */
+    using nodes_callback = std::function<void(std::set<node_id>)>;
     /** Tells that a server says it is leaving. */
     using leaving_callback = std::function<void(const backend_server &server)>;
     using list_function = std::function<outcome<std::vector<vm_entry>>()>;
 
     topology_controller(topology_board &board, fan_out_engine &engine, list_function listVms);
 
-    void onRestart(restart_callback callback) { m_onRestart = std::move(callback); }
+    void setFilter(filter_function filter) { m_filter = std::move(filter); }
+    void onChange(change_callback callback) { m_onChange = std::move(callback); }
+    void onNodes(nodes_callback callback) { m_onNodes = std::move(callback); }
     void onLeaving(leaving_callback callback) { m_onLeaving = std::move(callback); }
 
     /** Reads the VM list and starts status reads; returns without waiting for them. */
@@ -47,6 +53,9 @@
     /** Marks a server as leaving when a peer or a response says so before its status or the list does. */
     void markLeaving(const backend_server_id &id);
 
+    /** The address and last known start time of a server; empty when it is unknown. */
+    crash_detector::server_identity identityOf(const backend_server_id &id);
+
     /** Whether the VM list was read at least once. */
     bool ready() const { return m_ready; }
 
@@ -59,7 +68,9 @@
     topology_board &m_board;
     fan_out_engine &m_engine;
     list_function m_listVms;
-    restart_callback m_onRestart;
+    filter_function m_filter;
+    change_callback m_onChange;
+    nodes_callback m_onNodes;
     leaving_callback m_onLeaving;
     std::atomic<bool> m_ready{false};
     std::mutex m_mutex;
