Fix the HTTP clients' use of memory, their errors and what they say was sent

Contract tests against a raw socket server found three faults:

- The fan-out engine sent from a request on the stack of begin(), which the library keeps by pointer until the response is whole: a memory access violation on the first request.
The request now belongs to its connection.
- A connection closed without a response ended the process ("terminate called without an active exception"): the library's endExecute() rethrows the exception that it is handling and so must be called from within the replyFinished signal.
Both clients do so now.
- mayHaveReachedServer was false until the whole request had left.
A large request of which a part was read, then reset or timed out, was reported as never sent, which breaks true refusals and at-most-once execution.
The socket's own signal now tells when the first byte may leave.

Telling failed connects by exception type was ruled out: the library throws IOError for them and for lost connections. Transmissions still count only whole requests, so a partly sent one has 0. A reused connection always counts as possibly reached.

--- a/http/fan_out_engine.cpp
+++ b/http/fan_out_engine.cpp
@@ -12,9 +12,9 @@
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/replyheader.h>
 #include <cxxtools/http/request.h>
-#include <cxxtools/selector.h>
 
 #include "http/http_call.h"
+#include "http/tracking_selector.h"
 
 namespace snipefall {
 
@@ -87,6 +87,19 @@
             cxxtools::connect(client.bodyAvailable, *this, &connection::onBodyAvailable);
         }
 
+        void onConnected(cxxtools::net::TcpSocket &)
+        {
+            if (socket->isConnected()) {
+                noteConnected();
+            }
+        }
+
+        void noteConnected()
+        {
+            response.mayHaveReachedServer = true;
+            lastProgress = clock::now();
+        }
+
         void onRequestSent(cxxtools::http::Client &)
         {
             ++response.transmissions;
@@ -113,10 +126,44 @@
             return count;
         }
 
-        void onReplyFinished(cxxtools::http::Client &) { owner.m_finished.push_back(id); }
+        // endExecute() rethrows the exception that the library is handling, so it must be called from within this signal.
+        void onReplyFinished(cxxtools::http::Client &)
+        {
+            try {
+                client.endExecute();
+                response.status = transport_status::ok;
+                response.httpStatus = static_cast<int>(client.header().httpReturnCode());
+            } catch (const std::exception &e) {
+                fail(e);
+            }
+            owner.m_finished.push_back(id);
+        }
+
+        // Errors before the connected signal are failed connects or failed first writes, so nothing has left then.
+        void fail(const std::exception &reason)
+        {
+            response.status = response.mayHaveReachedServer ? transport_status::closed : transport_status::connect_failed;
+            response.message = reason.what();
+        }
+
+        // Called after each beginExecute(). Only the first one adds the socket to the selector.
+        void findSocket()
+        {
+            if (socket == nullptr) {
+                socket = owner.m_selector.takeAdded();
+                if (socket != nullptr) {
+                    cxxtools::connect(socket->connected, *this, &connection::onConnected);
+                }
+            }
+            if (socket == nullptr || socket->isConnected()) {
+                noteConnected();
+            }
+        }
 
         io_thread &owner;
+        cxxtools::http::Request message; ///< The client keeps a pointer to it until the response is whole.
         cxxtools::http::Client client;
+        cxxtools::net::TcpSocket *socket = nullptr; ///< Belongs to the client; nullptr if the library does not show it.
         std::uint64_t id = 0;
         std::string address;
         sub_response response;
@@ -235,7 +282,9 @@
         taken->deadline = request.deadline;
         taken->connectTimeout = request.connectTimeout;
         taken->progressTimeout = request.progressTimeout;
-        cxxtools::http::Request message(request.target);
+        cxxtools::http::Request &message = taken->message;
+        message.clear();
+        message.url(request.target);
         message.method("POST");
         message.setHeader("Content-Type", "application/json");
         if (!request.requestId.empty()) {
@@ -245,9 +294,14 @@
         connection &started = *taken;
         m_running.emplace(id, std::move(taken));
         try {
+            // On an open connection the first bytes leave at once.
+            started.response.mayHaveReachedServer = started.response.reusedConnection;
+            m_selector.takeAdded();
             started.client.beginExecute(message);
+            started.findSocket();
         } catch (const std::exception &e) {
-            finishEarly(id, transport_status::connect_failed, e.what());
+            started.fail(e);
+            finishEarly(id, started.response.status, e.what());
         }
     }
 
@@ -268,14 +322,6 @@
 
     void complete(connection_pointer ended)
     {
-        try {
-            ended->client.endExecute();
-            ended->response.status = transport_status::ok;
-            ended->response.httpStatus = static_cast<int>(ended->client.header().httpReturnCode());
-        } catch (const std::exception &e) {
-            ended->response.status = ended->response.mayHaveReachedServer ? transport_status::closed : transport_status::connect_failed;
-            ended->response.message = e.what();
-        }
         sub_response response = std::move(ended->response);
         completion done = std::move(ended->done);
         if (response.status == transport_status::ok && ended->client.header().keepAlive()) {
@@ -352,7 +398,7 @@
     std::atomic<std::size_t> m_openConnections{0};
     std::mutex m_mutex;
     std::vector<std::function<void()>> m_tasks;
-    cxxtools::Selector m_selector;
+    tracking_selector m_selector;
     std::unordered_map<std::uint64_t, connection_pointer> m_running;
     std::unordered_map<std::string, std::vector<connection_pointer>> m_idle;
     std::multimap<clock::time_point, std::function<void()>> m_timers;
--- a/http/http_call.cpp
+++ b/http/http_call.cpp
@@ -7,14 +7,14 @@
 #include <cxxtools/http/reply.h>
 #include <cxxtools/http/replyheader.h>
 #include <cxxtools/http/request.h>
-#include <cxxtools/ioerror.h>
-#include <cxxtools/selector.h>
+
+#include "http/tracking_selector.h"
 
 namespace snipefall {
 
 namespace {
 
-// The asynchronous form is used because it tells, by requestSent, whether a byte may have left.
+// The asynchronous form is used because it tells when the socket is connected, from when on a byte may leave.
 class single_call : public cxxtools::Connectable
 {
 public:
@@ -34,8 +34,7 @@
         try {
             execute(host, port);
         } catch (const std::exception &e) {
-            m_result.status = m_connected ? transport_status::closed : transport_status::connect_failed;
-            m_result.message = e.what();
+            fail(e);
         }
         return m_result;
     }
@@ -43,7 +42,7 @@
 private:
     void execute(const std::string &host, unsigned short port)
     {
-        cxxtools::Selector selector;
+        tracking_selector selector;
         cxxtools::http::Client client(selector, host, port);
         cxxtools::connect(client.requestSent, *this, &single_call::onRequestSent);
         cxxtools::connect(client.headerReceived, *this, &single_call::onHeaderReceived);
@@ -59,6 +58,13 @@
         using clock = std::chrono::steady_clock;
         const clock::time_point start = clock::now();
         client.beginExecute(request);
+        m_socket = selector.takeAdded();
+        if (m_socket != nullptr) {
+            cxxtools::connect(m_socket->connected, *this, &single_call::onConnected);
+        }
+        if (m_socket == nullptr || m_socket->isConnected()) {
+            noteConnected();
+        }
         while (!m_finished) {
             const long elapsed = std::chrono::duration_cast<std::chrono::milliseconds>(clock::now() - start).count();
             const long limit = m_connected ? m_call.timeoutMs : std::min(m_call.connectTimeoutMs, m_call.timeoutMs);
@@ -70,17 +76,23 @@
             }
             selector.wait(cxxtools::Milliseconds(static_cast<double>(limit - elapsed)));
         }
-        client.endExecute();
-        m_result.response.status = static_cast<int>(client.header().httpReturnCode());
-        m_result.status = transport_status::ok;
     }
 
-    void onRequestSent(cxxtools::http::Client &)
+    void onConnected(cxxtools::net::TcpSocket &)
+    {
+        if (m_socket->isConnected()) {
+            noteConnected();
+        }
+    }
+
+    void noteConnected()
     {
         m_connected = true;
         m_result.mayHaveReachedServer = true;
     }
 
+    void onRequestSent(cxxtools::http::Client &) { noteConnected(); }
+
     void onHeaderReceived(cxxtools::http::Client &client)
     {
         const char *type = client.header().getHeader("Content-Type");
@@ -98,10 +110,29 @@
         return count;
     }
 
-    void onReplyFinished(cxxtools::http::Client &) { m_finished = true; }
+    // endExecute() rethrows the exception that the library is handling, so it must be called from within this signal.
+    void onReplyFinished(cxxtools::http::Client &client)
+    {
+        m_finished = true;
+        try {
+            client.endExecute();
+            m_result.response.status = static_cast<int>(client.header().httpReturnCode());
+            m_result.status = transport_status::ok;
+        } catch (const std::exception &e) {
+            fail(e);
+        }
+    }
+
+    // Errors before the connected signal are failed connects or failed first writes, so nothing has left then.
+    void fail(const std::exception &reason)
+    {
+        m_result.status = m_connected ? transport_status::closed : transport_status::connect_failed;
+        m_result.message = reason.what();
+    }
 
     const http_call &m_call;
     http_call_result m_result;
+    cxxtools::net::TcpSocket *m_socket = nullptr; // Belongs to the client; nullptr if the library does not show it.
     bool m_connected = false;
     bool m_finished = false;
 };
--- /dev/null
+++ b/tests/http/blocked_listener.cpp
@@ -0,0 +1,36 @@
+#include "tests/http/blocked_listener.h"
+
+#include <stdexcept>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+blocked_listener::blocked_listener()
+{
+    const int listener = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    m_sockets.push_back(listener);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    if (::bind(listener, reinterpret_cast<sockaddr *>(&address), size) != 0 || ::listen(listener, 0) != 0
+        || ::getsockname(listener, reinterpret_cast<sockaddr *>(&address), &size) != 0) {
+        throw std::runtime_error("can't listen");
+    }
+    m_port = ntohs(address.sin_port);
+    // The kernel queues one connection more than the backlog of 0; the others keep the queue full.
+    for (int i = 0; i < 4; ++i) {
+        const int socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+        static_cast<void>(::connect(socket, reinterpret_cast<sockaddr *>(&address), size));
+        m_sockets.push_back(socket);
+    }
+}
+
+blocked_listener::~blocked_listener()
+{
+    for (const int socket : m_sockets) {
+        ::close(socket);
+    }
+}
--- /dev/null
+++ b/tests/http/test_fan_out_engine.cpp
@@ -0,0 +1,140 @@
+#include <future>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "http/fan_out_engine.h"
+#include "tests/http/blocked_listener.h"
+#include "tests/http/raw_server.h"
+#include "tests/stand_ins/free_port.h"
+
+using namespace snipefall;
+using behaviour = raw_server::behaviour;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t LARGE_BODY_BYTES = 16 << 20;
+
+sub_request newRequest(const std::string &address, std::size_t bodyBytes = 10)
+{
+    sub_request request;
+    request.address = address;
+    request.target = "/shards/query";
+    request.body = std::string(bodyBytes, 'x');
+    request.deadline = std::chrono::steady_clock::now() + 5s;
+    return request;
+}
+
+// The future is shared with the completion because a test may end before the completion is called.
+std::future<sub_response> submit(fan_out_engine &engine, sub_request request, std::uint64_t *id = nullptr)
+{
+    auto promise = std::make_shared<std::promise<sub_response>>();
+    const std::uint64_t submitted = engine.submit(std::move(request), [promise](sub_response response) { promise->set_value(std::move(response)); });
+    if (id != nullptr) {
+        *id = submitted;
+    }
+    return promise->get_future();
+}
+
+sub_response wait(std::future<sub_response> &future)
+{
+    if (future.wait_for(20s) != std::future_status::ready) {
+        throw std::runtime_error("the completion was not called");
+    }
+    return future.get();
+}
+
+struct engine_case
+{
+    const char *name;
+    std::vector<behaviour> script; ///< The request under test is the last one; those before it open and reuse the connection.
+    std::size_t bodyBytes;
+    std::chrono::milliseconds deadline;
+    std::chrono::milliseconds progressTimeout;
+    transport_status status;
+    bool reused;
+    unsigned transmissions;
+};
+
+std::ostream &operator<<(std::ostream &out, const engine_case &row)
+{
+    return out << row.name;
+}
+
+// Transmissions of a request that was not sent to its end are 0.
+const engine_case ENGINE_CASES[] = {
+    {"answer", {behaviour::answer}, 10, 5000ms, 5000ms, transport_status::ok, false, 1},
+    {"answer on a reused connection", {behaviour::answer, behaviour::answer}, 10, 5000ms, 5000ms, transport_status::ok, true, 1},
+    {"closed after reading", {behaviour::close_after_reading}, 10, 5000ms, 5000ms, transport_status::closed, false, 1},
+    {"reused connection closed after reading", {behaviour::answer, behaviour::close_after_reading}, 10, 5000ms, 5000ms, transport_status::closed, true, 2},
+    {"half an answer", {behaviour::answer_half}, 10, 5000ms, 5000ms, transport_status::closed, false, 1},
+    {"silence", {behaviour::stay_silent}, 10, 5000ms, 200ms, transport_status::no_progress, false, 1},
+    {"silence on a reused connection", {behaviour::answer, behaviour::stay_silent}, 10, 5000ms, 200ms, transport_status::no_progress, true, 1},
+    {"deadline", {behaviour::stay_silent}, 10, 200ms, 5000ms, transport_status::deadline_exceeded, false, 1},
+    {"large body reset after a part", {behaviour::close_after_part}, LARGE_BODY_BYTES, 5000ms, 5000ms, transport_status::closed, false, 0},
+    {"large body read in part", {behaviour::stop_reading}, LARGE_BODY_BYTES, 5000ms, 200ms, transport_status::no_progress, false, 0},
+    {"large body, deadline", {behaviour::stop_reading}, LARGE_BODY_BYTES, 200ms, 5000ms, transport_status::deadline_exceeded, false, 0},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(fan_out_engine_tests)
+
+// Guards true refusals and at-most-once accounting: a request of which a byte left says so, with the number of times it went out.
+BOOST_DATA_TEST_CASE(tellsWhatWasSent, ENGINE_CASES)
+{
+    raw_server server(sample.script);
+    fan_out_engine engine(1);
+    for (std::size_t i = 1; i < sample.script.size(); ++i) {
+        auto before = submit(engine, newRequest(server.address()));
+        BOOST_TEST_REQUIRE(std::string(toString(wait(before).status)) == "ok");
+    }
+    sub_request request = newRequest(server.address(), sample.bodyBytes);
+    request.deadline = std::chrono::steady_clock::now() + sample.deadline;
+    request.progressTimeout = sample.progressTimeout;
+    auto future = submit(engine, request);
+    const sub_response response = wait(future);
+    BOOST_TEST(std::string(toString(response.status)) == toString(sample.status), response.message);
+    BOOST_TEST(response.mayHaveReachedServer);
+    BOOST_TEST(response.reusedConnection == sample.reused);
+    BOOST_TEST(response.transmissions == sample.transmissions);
+    BOOST_TEST(server.requests() == sample.script.size() - 1 + std::max(1U, sample.transmissions));
+    BOOST_TEST(engine.openConnections() == (sample.status == transport_status::ok ? 1U : 0U));
+}
+
+// Guards against refusals "unknown" for requests that never left.
+BOOST_AUTO_TEST_CASE(failedConnectSentNothing)
+{
+    const blocked_listener blocked;
+    fan_out_engine engine(1);
+    for (const std::string &address : {"127.0.0.1:" + std::to_string(freePort()), blocked.address(), std::string("nonsense")}) {
+        sub_request request = newRequest(address);
+        request.connectTimeout = 200ms;
+        auto future = submit(engine, request);
+        const sub_response response = wait(future);
+        BOOST_TEST(std::string(toString(response.status)) == "connect_failed", response.message);
+        BOOST_TEST(!response.mayHaveReachedServer);
+        BOOST_TEST(response.transmissions == 0U);
+    }
+}
+
+// Guards against a cancelled request that completes twice or claims that nothing was sent.
+BOOST_AUTO_TEST_CASE(cancelClosesTheConnection)
+{
+    raw_server server({behaviour::stay_silent});
+    fan_out_engine engine(1);
+    std::uint64_t id = 0;
+    auto future = submit(engine, newRequest(server.address()), &id);
+    for (int i = 0; i < 2000 && server.requests() == 0; ++i) {
+        std::this_thread::sleep_for(5ms);
+    }
+    engine.cancel(id);
+    engine.cancel(id);
+    const sub_response response = wait(future);
+    BOOST_TEST(std::string(toString(response.status)) == "cancelled");
+    BOOST_TEST(response.mayHaveReachedServer);
+    BOOST_TEST(engine.openConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/http/test_http_call.cpp
@@ -0,0 +1,75 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "http/http_call.h"
+#include "tests/http/blocked_listener.h"
+#include "tests/http/raw_server.h"
+#include "tests/stand_ins/free_port.h"
+
+using namespace snipefall;
+using behaviour = raw_server::behaviour;
+
+namespace {
+
+// Larger than the socket buffers of both sides, so that a part of the request waits for the reader.
+constexpr std::size_t LARGE_BODY_BYTES = 16 << 20;
+
+struct call_case
+{
+    const char *name;
+    behaviour server;
+    std::size_t bodyBytes;
+    transport_status status;
+};
+
+std::ostream &operator<<(std::ostream &out, const call_case &row)
+{
+    return out << row.name;
+}
+
+const call_case CALL_CASES[] = {
+    {"answer", behaviour::answer, 10, transport_status::ok},
+    {"closed after reading", behaviour::close_after_reading, 10, transport_status::closed},
+    {"half an answer", behaviour::answer_half, 10, transport_status::closed},
+    {"silence", behaviour::stay_silent, 10, transport_status::deadline_exceeded},
+    {"large body reset after a part", behaviour::close_after_part, LARGE_BODY_BYTES, transport_status::closed},
+    {"large body read in part, then silence", behaviour::stop_reading, LARGE_BODY_BYTES, transport_status::deadline_exceeded},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(http_call_tests)
+
+// Guards at-most-once execution: the call goes out once, and every call of which a byte left says so.
+BOOST_DATA_TEST_CASE(sendsOnceAndTellsTheTruth, CALL_CASES)
+{
+    raw_server server({sample.server});
+    http_call call;
+    call.address = server.address();
+    call.method = "POST";
+    call.target = "/execute";
+    call.body = std::string(sample.bodyBytes, 'x');
+    call.timeoutMs = 700;
+    const http_call_result result = executeHttpCall(call);
+    BOOST_TEST(std::string(toString(result.status)) == toString(sample.status), result.message);
+    BOOST_TEST(result.mayHaveReachedServer);
+    BOOST_TEST(server.requests() == 1U);
+    BOOST_TEST(server.connections() == 1U);
+}
+
+// Guards against "unknown" for requests that certainly did not run.
+BOOST_AUTO_TEST_CASE(failedConnectSentNothing)
+{
+    const blocked_listener blocked;
+    for (const std::string &address :
+         {"127.0.0.1:" + std::to_string(freePort()), blocked.address(), std::string("127.0.0.1"), std::string("127.0.0.1:70000")}) {
+        http_call call;
+        call.address = address;
+        call.connectTimeoutMs = 200;
+        const http_call_result result = executeHttpCall(call);
+        BOOST_TEST(std::string(toString(result.status)) == "connect_failed", address);
+        BOOST_TEST(!result.mayHaveReachedServer);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
