--- a/tests/stand_ins/backend_switches.cpp
+++ b/tests/stand_ins/backend_switches.cpp
@@ -42,8 +42,8 @@
     void readCount(const char *key, Number &target)
     {
         const json *value = find(key);
-        const bool valid = value != nullptr && value->is_number_unsigned()
-            && value->get<std::uint64_t>() <= static_cast<std::uint64_t>(std::numeric_limits<std::int32_t>::max());
+        const bool valid = value != nullptr && value->is_number_integer() && value->get<std::int64_t>() >= 0
+            && value->get<std::int64_t>() <= std::numeric_limits<std::int32_t>::max();
         if (value != nullptr && expect(valid, key, "a number from 0 to 2^31-1")) {
             target = value->get<Number>();
         }
--- a/tests/stand_ins/stand_in_platform.cpp
+++ b/tests/stand_ins/stand_in_platform.cpp
@@ -280,7 +280,7 @@
     const std::map<std::string, long *> numbers = {
         {"slow_ms", &m_slowMs}, {"lose_answers", &m_loseAnswers}, {"lost_answer_delay_ms", &m_lostAnswerDelayMs}, {"vm_list_lag_ms", &m_vmListLagMs}};
     for (const auto &[name, value] : switches.items()) {
-        const bool isValid = name == "down" ? value.is_boolean() : numbers.contains(name) && value.is_number_unsigned();
+        const bool isValid = name == "down" ? value.is_boolean() : numbers.contains(name) && value.is_number_integer() && value.get<std::int64_t>() >= 0;
         if (!isValid) {
             return "unknown switch or wrong type: " + name;
         }
