--- a/node/query_service.cpp
+++ b/node/query_service.cpp
@@ -175,6 +175,9 @@
     record.itemsTotal = covered.itemsTotal;
     if (ended.status == query_status::below_min_coverage) {
         record.outcome = answer_outcome::failed;
+        if (covered.shardsAnswered == 0 && !covered.missing.empty() && covered.missing.front().reason == shard_failure::closed) {
+            return errorResponse(503, error_code::unknown_result, "a backend server closed the connection without an answer", run_state::unknown);
+        }
         const json error = {{"code", "deadline_exceeded"}, {"message", "the answer is below the service's least coverage"}, {"ran", "ran"}};
         return jsonResponse({{"error", error}, {"coverage", coverageToJson(covered)}}, 504);
     }
--- /dev/null
+++ b/tests/node/test_site.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "core/json.h"
+#include "tests/stand_ins/child_process.h"
+#include "tests/stand_ins/stand_in_backend.h"
+#include "tests/stand_ins/stand_in_platform.h"
+
+namespace snipefall {
+
+/** A platform and backend servers in this process, and nodes as processes of their own. */
+class test_site
+{
+public:
+    struct node_addresses
+    {
+        std::string callers;
+        std::string operators;
+        std::string peers;
+    };
+
+    /** The answer of a node, or status 0 when there was none. */
+    struct answer
+    {
+        int status = 0;
+        json body;
+
+        /** The member "ran" of a refusal, or an empty string. */
+        std::string ran() const { return body.is_object() ? jsonValue<std::string>(body.value("error", json::object()), "ran", "") : ""; }
+        bool repeated() const { return jsonValue<bool>(body, "repeated", false); }
+    };
+
+    test_site();
+    ~test_site();
+
+    /** Adds a backend server of service "svc" with 12 shards, 2 slots and 3 ms a request, unless the options say otherwise. */
+    stand_in_backend &addServer(const std::string &id, const std::string &domain, stand_in_backend_options options = defaultOptions());
+    static stand_in_backend_options defaultOptions();
+    /** Adds a backend server as a process of its own, which can crash. */
+    void addServerProcess(const std::string &id, const std::string &domain);
+    child_process &serverProcess(const std::string &id) { return *m_servers.at(id).process; }
+    const std::string &serverAddress(const std::string &id) const { return m_servers.at(id).address; }
+    /** Publishes the list of VMs with all servers and nodes. */
+    void publishVms();
+
+    void startNode(const std::string &name, const std::string &domain);
+    /** Starts node-1 to node-N in domain-1 to domain-N and the service "svc", and waits until each node answers for it. */
+    void startService(int nodes, const json &settings = json::object());
+    child_process &process(const std::string &node) { return *m_nodes.at(node).process; }
+    const node_addresses &addresses(const std::string &node) const { return m_nodes.at(node).addresses; }
+    std::vector<std::string> nodeNames() const;
+
+    answer call(const std::string &address, const std::string &method, const std::string &target, const json &body, const std::string &requestId = "") const;
+    answer query(const std::string &node, const json &query = json::object()) const;
+    answer execute(const std::string &node, const std::string &requestId) const;
+    /** Submits a merge patch against the newest version that the node knows. */
+    answer patch(const std::string &node, const json &merge) const;
+    std::uint64_t configVersion(const std::string &node) const;
+    /** The permits that a node holds for "svc". */
+    std::uint64_t permitsOf(const std::string &node) const;
+
+    /** Waits up to a minute, which is far longer than any step takes; the tests assert no times. */
+    static bool waitFor(const std::function<bool()> &condition);
+
+    stand_in_platform &platform() { return *m_platform; }
+    stand_in_backend &server(const std::string &id) { return *m_servers.at(id).server; }
+    std::uint64_t runsOf(const std::string &requestId) const;
+    /** Whether an answer's label agrees with the shards that its results hold, and all results are of its snapshot and version. */
+    static bool labelIsTrue(const json &answer, std::uint64_t itemsPerShard = defaultOptions().itemsPerShard);
+    static std::string newRequestId();
+
+private:
+    struct running_node
+    {
+        node_addresses addresses;
+        std::string domain;
+        std::unique_ptr<child_process> process;
+    };
+    struct running_server
+    {
+        std::string domain;
+        std::string version;
+        std::string address;
+        std::unique_ptr<stand_in_backend> server; ///< Empty for a process.
+        std::unique_ptr<child_process> process; ///< Empty for a server in this process.
+    };
+
+    std::filesystem::path m_directory;
+    std::unique_ptr<stand_in_platform> m_platform;
+    std::map<std::string, running_server> m_servers;
+    std::map<std::string, running_node> m_nodes;
+};
+
+} // namespace snipefall
