--- a/policy/gossip_engine.cpp
+++ b/policy/gossip_engine.cpp
@@ -91,8 +91,8 @@
     const bool membersDiffer = m_memberWatch.differs(now, message.memberDigest);
     const bool factsDiffer = m_factWatch.differs(now, message.factDigest);
     const bool joining = m_started && now < *m_started + m_settings.joinPhase && membersDiffer;
-    const bool due = joining || m_memberWatch.due(now, m_settings.pullDelay, m_settings.pullLatest)
-        || m_factWatch.due(now, m_settings.factPullDelay, m_settings.pullLatest);
+    const bool due =
+        joining || m_memberWatch.due(now, m_settings.pullDelay, m_settings.pullLatest) || m_factWatch.due(now, m_settings.factPullDelay, m_settings.pullLatest);
     if (!due || now < m_lastPull + (joining ? m_settings.joinPullInterval : m_settings.pullInterval)) {
         return;
     }
