Repair facts that only one node holds and bound what peers can send

The fuzz with two faults found a fact that stayed on its origin for more than 10 s after a split: a peer with the same digest cleared the mark of a difference, and the only holder pulled from nodes that had nothing to give. A difference now lasts until no peer shows it for 3 s, and a pull is answered by one pull in return. Pulled facts are passed on except by a node in its join phase, which would send the whole table again.

Records and addresses of peers are bounded, because a record above the space of a datagram would stay in the queue for ever. Bad frames on TCP are counted like bad datagrams.

--- a/peer/exchange_server.cpp
+++ b/peer/exchange_server.cpp
@@ -18,6 +18,7 @@
 
 namespace {
 
+using apache::thrift::protocol::TProtocol;
 using apache::thrift::transport::TTransportException;
 
 class connection_handler : public peer_messages::peer_exchangeIf
@@ -47,14 +48,48 @@
 class refusing_processor : public apache::thrift::TProcessor
 {
 public:
-    bool process(std::shared_ptr<apache::thrift::protocol::TProtocol>, std::shared_ptr<apache::thrift::protocol::TProtocol>, void *) override { return false; }
+    bool process(std::shared_ptr<TProtocol>, std::shared_ptr<TProtocol>, void *) override { return false; }
+};
+
+/** Counts input that fails before it is an envelope. */
+class counting_processor : public apache::thrift::TProcessor
+{
+public:
+    counting_processor(std::shared_ptr<apache::thrift::TProcessor> inner, refusal_counters &refusals, std::string ip)
+        : m_inner(std::move(inner))
+        , m_refusals(refusals)
+        , m_ip(std::move(ip))
+    {
+    }
+
+    bool process(std::shared_ptr<TProtocol> input, std::shared_ptr<TProtocol> output, void *context) override
+    {
+        try {
+            return m_inner->process(std::move(input), std::move(output), context);
+        } catch (const TTransportException &error) {
+            // The other types are closed, silent or interrupted connections.
+            if (error.getType() == TTransportException::CORRUPTED_DATA) {
+                m_refusals.add(refusal_reason::oversized, m_ip);
+            }
+            throw;
+        } catch (const apache::thrift::protocol::TProtocolException &) {
+            m_refusals.add(refusal_reason::malformed, m_ip);
+            throw;
+        }
+    }
+
+private:
+    std::shared_ptr<apache::thrift::TProcessor> m_inner;
+    refusal_counters &m_refusals;
+    std::string m_ip;
 };
 
 class processor_factory : public apache::thrift::TProcessorFactory
 {
 public:
-    explicit processor_factory(exchange_server &server)
+    processor_factory(exchange_server &server, refusal_counters &refusals)
         : m_server(server)
+        , m_refusals(refusals)
     {
     }
 
@@ -65,13 +100,21 @@
         if (!m_server.admits(ip)) {
             return std::make_shared<refusing_processor>();
         }
-        return std::make_shared<peer_messages::peer_exchangeProcessor>(std::make_shared<connection_handler>(m_server, ip));
+        auto inner = std::make_shared<peer_messages::peer_exchangeProcessor>(std::make_shared<connection_handler>(m_server, ip));
+        return std::make_shared<counting_processor>(std::move(inner), m_refusals, ip);
     }
 
 private:
     exchange_server &m_server;
+    refusal_counters &m_refusals;
 };
 
+/** Thrift's own messages are about closed connections, which the callers report. */
+void logThrift(const char *message)
+{
+    logDebug("thrift", {{"message", message}});
+}
+
 /** Reports that the socket listens. */
 class started_event : public apache::thrift::server::TServerEventHandler
 {
@@ -110,12 +153,13 @@
 
 std::optional<failure> exchange_server::start(const socket_address &address)
 {
+    apache::thrift::GlobalOutput.setOutputFunction(logThrift);
     const auto socket = std::make_shared<apache::thrift::transport::TServerSocket>(address.ip, address.port);
     const auto idleMs = static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(m_limits.idleTimeout).count());
     socket->setRecvTimeout(idleMs);
     socket->setSendTimeout(idleMs);
     const auto limit = static_cast<std::int32_t>(m_limits.maxFrameBytes);
-    m_server = std::make_shared<apache::thrift::server::TThreadedServer>(std::make_shared<processor_factory>(*this),
+    m_server = std::make_shared<apache::thrift::server::TThreadedServer>(std::make_shared<processor_factory>(*this, m_refusals),
                                                                          socket,
                                                                          std::make_shared<framed_transport_factory>(m_limits.maxFrameBytes),
                                                                          std::make_shared<apache::thrift::protocol::TCompactProtocolFactory>(limit, limit));
--- a/peer/gossip_codec.cpp
+++ b/peer/gossip_codec.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr std::size_t MAX_ACCUSER_BYTES = 48;
+
 std::int64_t toWire(std::uint64_t value)
 {
     return static_cast<std::int64_t>(value);
@@ -33,7 +35,7 @@
 
 std::optional<member_update> fromRecord(const peer_messages::member_record &record)
 {
-    if (record.id.empty() || record.peerAddress.empty() || record.state < 0 || record.state > static_cast<std::int8_t>(member_state::left)) {
+    if (record.state < 0 || record.state > static_cast<std::int8_t>(member_state::left)) {
         return std::nullopt;
     }
     member_update update;
@@ -45,7 +47,8 @@
     update.subject.configVersion = config_version(fromWire(record.configVersion));
     update.subject.state = static_cast<member_state>(record.state);
     update.accuser = node_id(record.accuser);
-    return update;
+    const bool valid = isValid(update.subject) && record.accuser.size() <= MAX_ACCUSER_BYTES;
+    return valid ? std::optional(update) : std::nullopt;
 }
 
 peer_messages::fact_record toRecord(const fact &item)
--- a/peer/gossip_service.cpp
+++ b/peer/gossip_service.cpp
@@ -52,6 +52,9 @@
     if (const auto invalid = m_codec.invalidSettings()) {
         return invalid;
     }
+    if (!isValid(m_settings.self)) {
+        return failure{error_code::invalid_argument, "ids and domains have at most 48 bytes, and addresses are \"ip:port\""};
+    }
     const auto allowed = allowed_peers::parse(m_settings.allowedPeers);
     if (!allowed) {
         return allowed.reason();
--- a/policy/digest_watch.h
+++ b/policy/digest_watch.h
@@ -18,14 +18,21 @@
         m_own = digest;
     }
 
-    /** Notes a peer's digest; true when it differs. */
-    bool differs(time_point now, std::uint64_t theirs)
+    /**
+     * Notes a peer's digest; true when it differs.
+     *
+     * A peer with the same digest proves nothing: after a split, both may lack what a third one holds. The difference is over when no peer has shown it for
+     * @p quiet.
+     */
+    bool differs(time_point now, std::uint64_t theirs, duration quiet)
     {
         if (theirs == m_own) {
-            m_since.reset();
             return false;
         }
-        m_since = m_since.value_or(now);
+        if (!m_since || now >= m_last + quiet) {
+            m_since = now;
+        }
+        m_last = now;
         return true;
     }
 
@@ -42,6 +49,7 @@
     std::uint64_t m_own = 0;
     time_point m_changed;
     std::optional<time_point> m_since;
+    time_point m_last;
 };
 
 } // namespace snipefall
--- a/policy/fact_table.cpp
+++ b/policy/fact_table.cpp
@@ -33,11 +33,11 @@
         m_sequence = std::max(m_sequence, held->second.item.sequence);
     }
     item.sequence = ++m_sequence;
-    store(now, item);
+    store(now, item, true);
     return item;
 }
 
-bool fact_table::merge(time_point now, const fact &item)
+bool fact_table::merge(time_point now, const fact &item, bool passOn)
 {
     if (!acceptable(item)) {
         return false;
@@ -46,11 +46,11 @@
     if (held == m_entries.end() ? m_entries.size() >= MAX_FACTS : !isNewer(item, held->second.item)) {
         return false;
     }
-    store(now, item);
+    store(now, item, passOn);
     return true;
 }
 
-void fact_table::store(time_point now, const fact &item)
+void fact_table::store(time_point now, const fact &item, bool passOn)
 {
     const auto held = m_entries.find(item.key);
     if (held != m_entries.end() && !held->second.expired) {
@@ -58,7 +58,11 @@
     }
     m_entries[item.key] = entry{item, now + item.lifetime, false};
     toggle(item);
-    m_news.add(item.key);
+    if (passOn) {
+        m_news.add(item.key);
+    } else {
+        m_news.remove(item.key);
+    }
 }
 
 void fact_table::tick(time_point now)
--- a/policy/fact_table.h
+++ b/policy/fact_table.h
@@ -37,8 +37,8 @@
      */
     outcome<fact> publish(time_point now, fact item);
 
-    /** Takes a fact from a peer; true when it is news. */
-    bool merge(time_point now, const fact &item);
+    /** Takes a fact from a peer; true when it is news. With @p passOn it is also disseminated. */
+    bool merge(time_point now, const fact &item, bool passOn = true);
 
     /** Removes what expired. */
     void tick(time_point now);
@@ -65,7 +65,7 @@
     };
 
     bool acceptable(const fact &item) const;
-    void store(time_point now, const fact &item);
+    void store(time_point now, const fact &item, bool passOn);
     void toggle(const fact &item) { m_digest.toggle(item.key, item.originIncarnation.value(), item.sequence); }
     static fact withTimeLeft(time_point now, const entry &held);
 
--- a/policy/gossip_engine.cpp
+++ b/policy/gossip_engine.cpp
@@ -10,6 +10,9 @@
 constexpr std::size_t HEADER_BYTES = 140;
 /** Datagrams that answer one pull. */
 constexpr std::size_t SYNC_DATAGRAMS = 4;
+/** Value of the probe number in a pull: a first pull is answered by a pull of the other side, which isn't answered by another one. */
+constexpr std::uint64_t FIRST_PULL = 1;
+constexpr std::uint64_t PULL_BACK = 2;
 /** Facts expire with this resolution. */
 constexpr duration EXPIRY_INTERVAL = std::chrono::milliseconds(200);
 /** The same newer version is reported again after this time, in case the first pull failed. */
@@ -60,8 +63,10 @@
     }
     refillBudget(now);
     datagrams out = m_membership.receive(now, sender, from, message);
+    // Pulled facts are passed on, because the peer may be the only holder, but not by a new node that pulls the whole table.
+    const bool passOn = message.type != gossip_type::sync || !joining(now);
     for (const fact &item : message.facts) {
-        if (m_facts.merge(now, item)) {
+        if (m_facts.merge(now, item, passOn)) {
             m_events.facts.push_back(item);
         }
     }
@@ -88,26 +93,31 @@
 
 void gossip_engine::compareDigests(time_point now, const node_id &sender, const std::string &from, const gossip_message &message, datagrams &out)
 {
-    const bool membersDiffer = m_memberWatch.differs(now, message.memberDigest);
-    const bool factsDiffer = m_factWatch.differs(now, message.factDigest);
-    const bool joining = m_started && now < *m_started + m_settings.joinPhase && membersDiffer;
-    const bool due =
-        joining || m_memberWatch.due(now, m_settings.pullDelay, m_settings.pullLatest) || m_factWatch.due(now, m_settings.factPullDelay, m_settings.pullLatest);
-    if (!due || now < m_lastPull + (joining ? m_settings.joinPullInterval : m_settings.pullInterval)) {
-        return;
+    const bool membersDiffer = m_memberWatch.differs(now, message.memberDigest, m_settings.pullLatest);
+    const bool factsDiffer = m_factWatch.differs(now, message.factDigest, m_settings.pullLatest);
+    const bool joins = joining(now) && membersDiffer;
+    const bool due = joins || (membersDiffer && m_memberWatch.due(now, m_settings.pullDelay, m_settings.pullLatest))
+        || (factsDiffer && m_factWatch.due(now, m_settings.factPullDelay, m_settings.pullLatest));
+    if (due && now >= m_lastPull + (joins ? m_settings.joinPullInterval : m_settings.pullInterval)) {
+        pull(now, sender, from, message, FIRST_PULL, out);
     }
+}
+
+void gossip_engine::pull(time_point now, const node_id &sender, const std::string &from, const gossip_message &message, std::uint64_t turn, datagrams &out)
+{
     m_lastPull = now;
     m_memberWatch.restart(now);
     m_factWatch.restart(now);
-    gossip_message pull;
-    pull.type = gossip_type::pull;
-    if (membersDiffer) {
-        pull.memberBuckets = m_membership.digest().buckets();
+    gossip_message request;
+    request.type = gossip_type::pull;
+    request.probe = turn;
+    if (message.memberDigest != m_membership.digest().total()) {
+        request.memberBuckets = m_membership.digest().buckets();
     }
-    if (factsDiffer) {
-        pull.factBuckets = m_facts.digest().buckets();
+    if (message.factDigest != m_facts.digest().total()) {
+        request.factBuckets = m_facts.digest().buckets();
     }
-    out.push_back({from, sender, std::move(pull)});
+    out.push_back({from, sender, std::move(request)});
 }
 
 void gossip_engine::answerPull(time_point now, const node_id &sender, const std::string &from, const gossip_message &message, datagrams &out)
@@ -134,6 +144,10 @@
         answer.message.type = gossip_type::sync;
         out.push_back(std::move(answer));
     }
+    // The difference may be on this side, for example when the other node is the only one that holds a fact.
+    if (message.probe == FIRST_PULL && now >= m_lastPull + m_settings.pullInterval) {
+        pull(now, sender, from, message, PULL_BACK, out);
+    }
 }
 
 void gossip_engine::finish(time_point now, datagrams &out)
@@ -149,9 +163,11 @@
         message.factDigest = factDigest;
         const std::size_t used = encodedSizeBound(message);
         std::size_t left = m_settings.payloadBytes > used ? m_settings.payloadBytes - used : 0;
-        // A sync's claims are treated as old ones, so news doesn't travel in it. Facts go first, but leave half to members.
+        // A sync's claims are treated as old ones, so news doesn't travel in it. Facts go first, but leave half of every second datagram to members.
         if (message.type != gossip_type::sync) {
-            left -= m_facts.collect(now, m_membership.hasNews() ? left / 2 : left, m_membership.sendLimit(), message.facts);
+            m_sharesEvenly = !m_sharesEvenly;
+            const bool shared = m_sharesEvenly && m_membership.hasNews();
+            left -= m_facts.collect(now, shared ? left / 2 : left, m_membership.sendLimit(), message.facts);
             m_membership.appendNews(message, left);
         }
         m_budget -= static_cast<double>(encodedSizeBound(message) + HEADER_BYTES);
--- a/policy/gossip_engine.h
+++ b/policy/gossip_engine.h
@@ -46,6 +46,8 @@
 
     void spreadNews(time_point now, datagrams &out);
     void compareDigests(time_point now, const node_id &sender, const std::string &from, const gossip_message &message, datagrams &out);
+    void pull(time_point now, const node_id &sender, const std::string &from, const gossip_message &message, std::uint64_t turn, datagrams &out);
+    bool joining(time_point now) const { return m_started && now < *m_started + m_settings.joinPhase; }
     void answerPull(time_point now, const node_id &sender, const std::string &from, const gossip_message &message, datagrams &out);
     void noteConfigVersion(time_point now, const node_id &sender, const std::string &from, config_version version);
     void finish(time_point now, datagrams &out);
@@ -58,6 +60,7 @@
     gossip_events m_events;
     int m_announcements = 0; ///< Sends of the configuration version that are left.
     double m_budget;
+    bool m_sharesEvenly = false;
     std::optional<time_point> m_started;
     time_point m_budgetAt;
     time_point m_nextNews;
--- a/policy/gossip_message.h
+++ b/policy/gossip_message.h
@@ -15,7 +15,7 @@
 struct gossip_message
 {
     gossip_type type = gossip_type::news;
-    std::uint64_t probe = 0; ///< Number of the probe that a ping, ack, nack or ping_request belongs to.
+    std::uint64_t probe = 0; ///< Number of the probe that a ping, ack, nack or ping_request belongs to; in a pull, 1 asks for a pull in return.
     node_id target; ///< Of a ping_request.
     std::string targetAddress; ///< Of a ping_request.
     config_version configVersion; ///< The sender's.
--- a/tests/peer/test_gossip_service.cpp
+++ b/tests/peer/test_gossip_service.cpp
@@ -5,6 +5,8 @@
 #include <mutex>
 #include <thread>
 
+#include <thrift/transport/TSocket.h>
+
 #include "core/clock.h"
 #include "peer/generated/peer_messages_types.h"
 #include "peer/gossip_codec.h"
@@ -211,6 +213,32 @@
     }
 }
 
+// Guards against frames that reserve memory or stop the server: bytes that aren't Thrift, and a frame above the limit of the receiver only.
+BOOST_AUTO_TEST_CASE(badFramesAreRefusedAndTheServerGoesOn)
+{
+    gossip_service server(settingsOf("server"), {});
+    registerHandlers(server);
+    BOOST_REQUIRE(!server.start());
+    const auto address = socket_address::parse(server.self().peerAddress);
+    const std::pair<refusal_reason, std::string> rows[] = {
+        {refusal_reason::oversized, std::string("\x7f\xff\xff\xff", 4)},
+        {refusal_reason::malformed, std::string("\x00\x00\x00\x04", 4) + "junk"},
+    };
+    for (const auto &[reason, bytes] : rows) {
+        apache::thrift::transport::TSocket socket(address->ip, address->port);
+        socket.open();
+        socket.write(reinterpret_cast<const std::uint8_t *>(bytes.data()), static_cast<std::uint32_t>(bytes.size()));
+        BOOST_TEST(eventually([&, counted = reason] { return server.refusals().count(counted) == 1; }), toString(reason));
+    }
+    gossip_service_settings settings = settingsOf("client");
+    settings.exchange.maxFrameBytes = 1000000;
+    gossip_service client(settings, {});
+    BOOST_REQUIRE(!client.start());
+    const std::string large(200000, 'x');
+    BOOST_TEST(toString(client.exchange(server.self().peerAddress, node_id("server"), ECHO, large, seconds(20)).reason().code) == "unknown_result");
+    BOOST_TEST(client.exchange(server.self().peerAddress, node_id("server"), ECHO, "x", seconds(20)).hasValue());
+}
+
 // Guards against "unavailable", which says that nothing was sent, for a request that went out, and the reverse.
 BOOST_AUTO_TEST_CASE(failedExchangesSayWhetherAnythingWasSent)
 {
