--- a/policy/gossip_engine.h
+++ b/policy/gossip_engine.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "policy/digest_watch.h"
 #include "policy/fact_table.h"
 #include "policy/gossip_events.h"
 #include "policy/gossip_settings.h"
@@ -45,6 +46,8 @@
 
     void spreadNews(time_point now, datagrams &out);
     void compareDigests(time_point now, const node_id &sender, const std::string &from, const gossip_message &message, datagrams &out);
+    void pull(time_point now, const node_id &sender, const std::string &from, const gossip_message &message, std::uint64_t turn, datagrams &out);
+    bool joining(time_point now) const { return m_started && now < *m_started + m_settings.joinPhase; }
     void answerPull(time_point now, const node_id &sender, const std::string &from, const gossip_message &message, datagrams &out);
     void noteConfigVersion(time_point now, const node_id &sender, const std::string &from, config_version version);
     void finish(time_point now, datagrams &out);
@@ -57,17 +60,16 @@
     gossip_events m_events;
     int m_announcements = 0; ///< Sends of the configuration version that are left.
     double m_budget;
+    bool m_sharesEvenly = false;
     std::optional<time_point> m_started;
     time_point m_budgetAt;
     time_point m_nextNews;
     time_point m_nextExpiry;
-    time_point m_changed;
     time_point m_lastPull;
     time_point m_lastAhead;
     config_version m_highestAhead;
-    std::optional<time_point> m_mismatchSince;
-    std::uint64_t m_lastMemberDigest = 0;
-    std::uint64_t m_lastFactDigest = 0;
+    digest_watch m_memberWatch;
+    digest_watch m_factWatch;
 };
 
 } // namespace snipefall
