Stop asking the old taker while an insertion may have taken effect

A holder had inserted a new node behind itself, which makes that node its taker, and the answer was lost in an outage. It went on renewing by promises of its earlier taker, which saw the same old record, while the new taker took the share over.

A holder now asks for a promise only when the taker is the same in its record and in a write that may have taken effect. Asking both was ruled out, as the new one may not know yet that it is the taker.

A unit test replays the lost answer and fails without the change.

--- a/policy/permit_holder.cpp
+++ b/policy/permit_holder.cpp
@@ -84,6 +84,13 @@
     if (!taker) {
         return;
     }
+    if (m_pending) {
+        // A write that changes the taker may have taken effect; then the promise of the old taker does not bind the new one.
+        const auto *next = m_pending->permits.record.takerOf(m_self);
+        if (!next || next->node != taker->node) {
+            return;
+        }
+    }
     m_promise = request_in_flight{++m_lastOperation, now};
     m_lastPromiseRequest = now;
     actions.emplace_back(ask_promise{m_lastOperation, taker->node, {m_self, m_started, *m_permits}});
--- a/tests/policy/test_permits.cpp
+++ b/tests/policy/test_permits.cpp
@@ -131,6 +131,22 @@
     BOOST_TEST(!successor.promises(incarnation(4), object_version(3)));
 }
 
+// Guards against renewal by the old taker while the insertion of a new one, whose answer was lost, may have taken effect.
+BOOST_AUTO_TEST_CASE(lostInsertionStopsPromises)
+{
+    driven_holder holder(true);
+    holder.permits.record = permit_record(3, {{node_id("self"), incarnation(5), {1, 10}}, {node_id("other"), incarnation(4), {1, 10}}});
+    holder.around.placed.push_back({node_id("new"), incarnation(1), {}, 1.0, {}});
+    const auto write = holder.driveUntil(holder.now + seconds(2));
+    BOOST_REQUIRE(write && write->permits.record.find(node_id("new")));
+    holder.holder.writeAnswered(write->operation, holder.now, failure{error_code::unknown_result, "answer lost"});
+    for (int tick = 0; tick < 30; ++tick, holder.now += std::chrono::milliseconds(100)) {
+        for (const auto &action : holder.holder.tick(holder.now, holder.around)) {
+            BOOST_TEST(!std::holds_alternative<ask_promise>(action));
+        }
+    }
+}
+
 // Guards against use of a share one microsecond after its lease, and of a taken share before the lease and the margin have passed.
 BOOST_AUTO_TEST_CASE(leaseAndTakeoverEndExactly)
 {
