Send a canary sub-request before the fan-out of a request that was not seen before

Cause: a request that crashes servers reached all replicas of all shards at once; in the whole-path test it took down 3 of 3 backend servers before any evidence existed. Ruled out: quarantine alone, since its evidence comes after the first fan-out. Change: unproven fingerprints send one sub-request and wait for its end, at most for the hedge delay; a closed connection ends the query. A shard that waits for a permit is now sent when a slot frees (permitAvailable), not by polling.

--- a/policy/query_execution.cpp
+++ b/policy/query_execution.cpp
@@ -59,12 +59,54 @@
         m_open[shard] = shard;
         m_shards[shard].openPosition = shard;
     }
-    for (std::uint32_t shard = 0; shard < m_coverage.shardsTotal; ++shard) {
-        attempt(shard, now, out);
+    if (m_options.canary && m_open.size() > 1) {
+        startCanary(now, out);
+    } else {
+        for (std::uint32_t shard = 0; shard < m_coverage.shardsTotal; ++shard) {
+            attempt(shard, now, out);
+        }
     }
     settle(now, out);
 }
 
+void query_execution::startCanary(time_point now, query_actions &out)
+{
+    for (const std::uint32_t shard : m_open) {
+        if (!m_plan->shards[shard].candidates.empty()) {
+            m_canaryRuns = true;
+            m_canaryShard = shard;
+            holdForCanary(time_point::max());
+            attempt(shard, now, out);
+            return;
+        }
+    }
+}
+
+void query_execution::holdForCanary(time_point until)
+{
+    for (const std::uint32_t shard : m_open) {
+        if (shard != m_canaryShard && !m_shards[shard].firstSent) {
+            setDue(m_shards[shard], until);
+        }
+    }
+}
+
+bool query_execution::passCanary(std::optional<shard_failure> failed, time_point now)
+{
+    if (!m_canaryRuns) {
+        return true;
+    }
+    m_canaryRuns = false;
+    if (failed == shard_failure::closed) {
+        for (const std::uint32_t shard : m_open) {
+            m_shards[shard].lastFailure = shard_failure::closed;
+        }
+        return false;
+    }
+    holdForCanary(now);
+    return true;
+}
+
 std::optional<duration> query_execution::subAnswer(sub_answer answer, time_point now, query_actions &out)
 {
     countSentFirsts(now);
@@ -87,6 +129,7 @@
     m_results[index] = std::move(answer.results);
     m_coverage.shardsAnswered += 1;
     m_coverage.itemsSeen += answer.itemsSeen;
+    passCanary(std::nullopt, now);
     settle(now, out);
     return now - m_subs[*position].sentAt;
 }
@@ -98,6 +141,11 @@
     if (position == NO_SUB) {
         return;
     }
+    if (!passCanary(kind, now)) {
+        endSub(position, sub_state::ended);
+        finish(now, out);
+        return;
+    }
     failAttempt(position, kind, now, out);
     settle(now, out);
 }
@@ -119,10 +167,39 @@
         shard.lastFailure = shard_failure::permit_denied;
     }
     revoke(record, now);
+    if (m_canaryRuns && record.shard == m_canaryShard) {
+        holdForCanary(time_point::max());
+    }
     attempt(record.shard, now, out);
     settle(now, out);
 }
 
+void query_execution::permitAvailable(server_index server, time_point now, query_actions &out)
+{
+    if (m_ended) {
+        return;
+    }
+    for (const std::uint32_t shard : m_open) {
+        shard_progress &progress = m_shards[shard];
+        if (!progress.waiting || (m_canaryRuns && shard != m_canaryShard)) {
+            continue;
+        }
+        const std::vector<server_index> &candidates = m_plan->shards[shard].candidates;
+        const auto position = static_cast<std::size_t>(std::find(candidates.begin(), candidates.end(), server) - candidates.begin());
+        if (position >= candidateCount(shard) || (progress.excluded >> position & 1U) != 0) {
+            continue;
+        }
+        progress.denied = ~(1U << position);
+        const std::size_t sent = out.sends.size();
+        attempt(shard, now, out);
+        progress.denied = 0;
+        if (out.sends.size() > sent) {
+            break;
+        }
+    }
+    settle(now, out);
+}
+
 void query_execution::tick(time_point now, query_actions &out)
 {
     countSentFirsts(now);
@@ -236,6 +313,7 @@
     shard_progress &progress = m_shards[shard];
     if (progress.denied != 0 && progress.sends < m_options.hedges.maxSends) {
         progress.denied = 0;
+        progress.waiting = progress.inFlight == 0;
         setDue(progress, now + PERMIT_RETRY_DELAY);
         return;
     }
@@ -263,6 +341,9 @@
         m_uncountedFirsts += 1;
     }
     setDue(progress, now + m_options.hedges.delay);
+    if (m_canaryRuns && shard == m_canaryShard) {
+        holdForCanary(now + m_options.hedges.delay);
+    }
     out.sends.push_back({idOf(position), shard_index(shard), m_plan->shards[shard].candidates[candidate], m_deadline, extra});
 }
 
--- a/policy/query_execution.h
+++ b/policy/query_execution.h
@@ -35,6 +35,8 @@
     void subFailure(sub_request_id sub, shard_failure kind, time_point now, query_actions &out);
     /** The sub-request of a send action was not sent, for lack of a permit. */
     void permitDenied(sub_request_id sub, time_point now, query_actions &out);
+    /** A server for which shards wait has a free slot; sends at most one sub-request, to that server. */
+    void permitAvailable(server_index server, time_point now, query_actions &out);
     void tick(time_point now, query_actions &out);
     /** Ends the query without an outcome and cancels what runs. */
     void abandon(time_point now, query_actions &out);
@@ -77,6 +79,11 @@
     void failAttempt(std::uint32_t position, shard_failure kind, time_point now, query_actions &out);
     void wantRestart(time_point now, query_actions &out);
 
+    void startCanary(time_point now, query_actions &out);
+    /** Lets the shards that were not sent yet wait until @p until. */
+    void holdForCanary(time_point until);
+    /** Ends the canary phase after the end of a sub-request; false when the query ends because a server closed the connection. */
+    bool passCanary(std::optional<shard_failure> failed, time_point now);
     void leaveOpen(std::uint32_t shard, shard_progress::state state);
     void setDue(shard_progress &shard, time_point due);
     time_point effectiveDue(const shard_progress &shard) const;
@@ -108,6 +115,8 @@
     bool m_goodEnoughPassed = false;
     bool m_held = true; ///< Hedges are held back.
     bool m_restartWanted = false;
+    bool m_canaryRuns = false;
+    std::uint32_t m_canaryShard = 0;
 };
 
 } // namespace snipefall
--- a/policy/shard_progress.cpp
+++ b/policy/shard_progress.cpp
@@ -33,6 +33,7 @@
     sends += 1;
     tried |= 1U << candidate;
     firstSent = true;
+    waiting = false;
 }
 
 void shard_progress::removeRunning(std::uint32_t position)
--- a/policy/shard_progress.h
+++ b/policy/shard_progress.h
@@ -47,6 +47,7 @@
     std::uint8_t inFlight = 0;
     std::uint8_t sends = 0;
     bool firstSent = false;
+    bool waiting = false; ///< No candidate had a permit at the last attempt.
     bool notHeld = false; ///< Some candidate no longer holds the snapshot.
 };
 
