--- a/http/fan_out_engine.cpp
+++ b/http/fan_out_engine.cpp
@@ -37,8 +37,13 @@
     {
     }
 
-    ~io_thread()
+    ~io_thread() { stop(); }
+
+    void stop()
     {
+        if (!m_thread.joinable()) {
+            return;
+        }
         m_stop = true;
         m_selector.wake();
         m_thread.join();
@@ -200,6 +205,11 @@
             checkTimeouts();
             waitForEvents();
         }
+        runTasks();
+        completeFinished();
+        while (!m_running.empty()) {
+            finishEarly(m_running.begin()->first, transport_status::cancelled, "the engine stopped");
+        }
     }
 
     void waitForEvents()
@@ -415,7 +425,13 @@
     }
 }
 
-fan_out_engine::~fan_out_engine() = default;
+// All threads end before the first is destroyed, because a completion may submit to any of them.
+fan_out_engine::~fan_out_engine()
+{
+    for (const auto &thread : m_threads) {
+        thread->stop();
+    }
+}
 
 std::uint64_t fan_out_engine::submit(sub_request request, completion done)
 {
--- a/http/fan_out_engine.h
+++ b/http/fan_out_engine.h
@@ -24,6 +24,7 @@
     using clock = std::chrono::steady_clock;
 
     explicit fan_out_engine(unsigned threads);
+    /** Requests that still run get the status cancelled; requests submitted by their completions are dropped. */
     ~fan_out_engine();
     fan_out_engine(const fan_out_engine &) = delete;
     fan_out_engine &operator=(const fan_out_engine &) = delete;
--- a/tests/platform/test_http_object_store.cpp
+++ b/tests/platform/test_http_object_store.cpp
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr std::size_t MAX_VALUE_BYTES = 1 << 20;
+constexpr int WATCHES = 64;
 constexpr call_purpose PURPOSE = call_purpose::configuration;
 
 struct platform_fixture
@@ -190,8 +191,8 @@
 // Guards watches: a waiting one ends with the write, and many of them leave threads for other calls.
 BOOST_FIXTURE_TEST_CASE(waitingWatchesSeeTheWrite, platform_fixture)
 {
-    constexpr int WATCHES = 64;
     std::vector<std::thread> watchers;
+    watchers.reserve(WATCHES);
     std::atomic<int> seen{0};
     for (int i = 0; i < WATCHES; ++i) {
         watchers.emplace_back([&] {
