--- a/core/strong_id.h
+++ b/core/strong_id.h
@@ -21,7 +21,7 @@
     const std::string &str() const { return m_value; }
     bool empty() const { return m_value.empty(); }
 
-    auto operator<=>(const strong_id &) const = default;
+    auto operator<=>(const strong_id &) const = default; // NOLINT(modernize-use-nullptr): false positive of clang-tidy 14.
     bool operator==(const strong_id &) const = default;
 
 private:
--- a/core/strong_number.h
+++ b/core/strong_number.h
@@ -22,7 +22,7 @@
     constexpr Value value() const { return m_value; }
     constexpr strong_number next() const { return strong_number(m_value + 1); }
 
-    constexpr auto operator<=>(const strong_number &) const = default;
+    constexpr auto operator<=>(const strong_number &) const = default; // NOLINT(modernize-use-nullptr): false positive of clang-tidy 14.
     constexpr bool operator==(const strong_number &) const = default;
 
 private:
