Give each permit and admission type its own header

The style asks for one class per header; records, promise messages and results were declared beside the types that use them, so that a user of a promise had to include the holder's actions.

--- a/policy/admission_queue.h
+++ b/policy/admission_queue.h
@@ -5,9 +5,10 @@
 #include <list>
 #include <map>
 #include <optional>
-#include <vector>
 
 #include "core/ids.h"
+#include "policy/admission_next.h"
+#include "policy/admission_result.h"
 #include "policy/queued_query.h"
 #include "policy/service_time_estimate.h"
 
@@ -16,21 +17,6 @@
 /** Callers whose costs are remembered while they have no query waiting. */
 constexpr std::size_t MAX_REMEMBERED_CALLERS = 1024;
 
-/** What became of a query that was offered. All refused queries have not run. */
-struct admission_result
-{
-    bool admitted = false;
-    duration expectedWait{}; ///< Until the query would start.
-    std::optional<queued_query> displaced; ///< Refused in its place: the newest query of the caller with the most queries waiting.
-};
-
-/** What to do when a permit is free. */
-struct admission_next
-{
-    std::optional<queued_query> start;
-    std::vector<queued_query> refused; ///< Can no longer finish by their deadlines.
-};
-
 /**
  * The queries of one service that wait for permits on this node.
  *
--- a/policy/permit_holder.h
+++ b/policy/permit_holder.h
@@ -8,6 +8,7 @@
 #include "policy/permit_lease.h"
 #include "policy/permit_surroundings.h"
 #include "policy/permit_taker.h"
+#include "policy/promise_answer.h"
 
 namespace snipefall {
 
--- a/policy/permit_record.h
+++ b/policy/permit_record.h
@@ -7,20 +7,10 @@
 
 #include "core/ids.h"
 #include "core/outcome.h"
-#include "policy/permit_share.h"
+#include "policy/permit_entry.h"
 
 namespace snipefall {
 
-/** One place in the ring of a permit record. */
-struct permit_entry
-{
-    node_id node;
-    incarnation started;
-    permit_share share; ///< May be empty: a standby that only takes over and promises.
-
-    bool operator==(const permit_entry &) const = default;
-};
-
 /**
  * The object permits/<service>: who holds which share of the limit of each backend server.
  *
--- a/policy/server_limiter.h
+++ b/policy/server_limiter.h
@@ -5,6 +5,7 @@
 #include "core/clock.h"
 #include "policy/permit_share.h"
 #include "policy/server_answer.h"
+#include "policy/server_exclusions.h"
 
 namespace snipefall {
 
@@ -18,16 +19,6 @@
 constexpr duration SHED_PAUSE = std::chrono::milliseconds(50);
 constexpr duration LONGEST_SHED_PAUSE = std::chrono::seconds(1);
 
-/** Why a backend server gets no new work; facts and configuration of the node. */
-struct server_exclusions
-{
-    bool leaving = false;
-    bool domainOut = false;
-    bool badVersion = false;
-
-    bool any() const { return leaving || domainOut || badVersion; }
-};
-
 /**
  * Limits the requests and connections of one node to one backend server.
  *
