Measure moves on seeded good and bad versions and tune the controller

bench_moves simulates moves on 7 nodes at the level of values, with delays of facts, records and summaries up to 1 s, under the controller and under a baseline that rolls back at 10 errors in a step.

A step also needs 10 latencies of warm servers. - Error bursts in both versions (2 s of 10% errors, twice a minute): at 100% there is no traffic of the old version to compare with.

--- /dev/null
+++ b/bench/move_simulation.h
@@ -0,0 +1,281 @@
+#pragma once
+
+#include <algorithm>
+#include <cmath>
+#include <optional>
+#include <random>
+#include <vector>
+
+#include <fmt/format.h>
+
+#include "bench/move_scenario.h"
+#include "policy/fault_detector.h"
+#include "policy/move_controller.h"
+#include "policy/version_router.h"
+
+namespace snipefall::bench {
+
+constexpr std::uint64_t START_MS = 1'000'000;
+constexpr std::uint64_t TICK_MS = 100;
+constexpr std::uint64_t DRIVE_MS = 1'000; ///< Nodes exchange summaries and drive the move this often.
+constexpr std::uint64_t MAX_SPREAD_MS = 1'000; ///< Longest time of a fact or record to reach a node.
+constexpr std::size_t NODES = 7;
+constexpr std::uint64_t BASELINE_ERRORS = 10; ///< The baseline's limit.
+constexpr std::uint64_t BASELINE_STEPS = 6;
+constexpr double COLD_FACTOR = 4;
+constexpr double MEDIAN_LATENCY_US = 20'000;
+constexpr double HICCUP_ERROR_RATE = 0.1;
+constexpr double HICCUP_MS = 2'000;
+constexpr std::size_t FAULTY_ROUTE = 2;
+constexpr std::array<double, 4> ROUTE_SHARES{0.5, 0.3, 0.15, 0.05};
+constexpr std::array<const char *, 4> ROUTES{"/search", "/lookup", "/list", "/export"};
+
+/** One seeded move on NODES nodes. Answers arrive in the tick of their query; the latency only enters the comparison. */
+class move_simulation
+{
+public:
+    move_simulation(const move_scenario &scenario, move_judge judge, std::uint64_t seed)
+        : m_scenario(scenario)
+        , m_judge(judge)
+        , m_random(seed)
+        , m_record(startMove({"m", service_id("s"), version_id("old"), version_id("new"), 5, START_MS + scenario.deadlineMs, OBSERVATION_MS, "bench", "bench"},
+                             START_MS)
+                       .value())
+    {
+        m_queriesPerSecond = std::exp(uniform(std::log(scenario.minQueriesPerSecond), std::log(scenario.maxQueriesPerSecond)));
+        m_errorRate = uniform(0.001, 0.01);
+        m_coldMs = uniform(0.25, 1) * scenario.maxColdSeconds * 1'000;
+        // Slow start may take a server for warm up to 10% too early or too late.
+        m_seenColdMs = m_coldMs * uniform(0.9, 1.1);
+        m_faultFromMs = uniform(scenario.minFaultAfterS, scenario.maxFaultAfterS) * 1'000;
+        for (std::size_t i = 0; i < NODES; ++i) {
+            m_nodes.emplace_back(m_record);
+        }
+    }
+
+    move_result run()
+    {
+        const std::uint64_t endMs = m_scenario.deadlineMs + OBSERVATION_MS + MAX_SPREAD_MS;
+        for (m_nowMs = 0; m_nowMs < endMs; m_nowMs += TICK_MS) {
+            deliver();
+            serveTick();
+            if (m_judge == move_judge::controller) {
+                checkNodes();
+            }
+            if (m_nowMs % DRIVE_MS == 0) {
+                drive();
+            }
+            if (m_record.state == move_state::rolled_back && m_nowMs > m_record.stepStartedMs - START_MS + 2 * MAX_SPREAD_MS) {
+                break;
+            }
+        }
+        m_result.rolledBack = m_record.state == move_state::rolled_back;
+        if (m_result.rolledBack && m_firstBadMs) {
+            m_result.stopSeconds = static_cast<double>(std::max(m_lastNewMs, *m_firstBadMs) - *m_firstBadMs) / 1'000;
+        }
+        return m_result;
+    }
+
+private:
+    struct sim_node
+    {
+        explicit sim_node(const move_record &record)
+            : detector(record)
+        {
+            router.setMove(record, true);
+        }
+
+        version_router router{service_id("s")};
+        fault_detector detector;
+        std::optional<bad_version_fact> fact;
+        bool published = false;
+    };
+
+    struct message
+    {
+        std::uint64_t atMs;
+        std::size_t node;
+        std::optional<move_record> record;
+        std::optional<bad_version_fact> fact;
+    };
+
+    double uniform(double low, double high) { return low + (high - low) * m_uniform(m_random); }
+    time_point clock() const { return time_point(std::chrono::milliseconds(START_MS + m_nowMs)); }
+
+    void broadcast(const std::optional<move_record> &record, const std::optional<bad_version_fact> &fact)
+    {
+        for (std::size_t i = 0; i < NODES; ++i) {
+            m_messages.push_back({m_nowMs + static_cast<std::uint64_t>(uniform(TICK_MS, MAX_SPREAD_MS)), i, record, fact});
+        }
+    }
+
+    void deliver()
+    {
+        for (const message &arrived : m_messages) {
+            if (arrived.atMs > m_nowMs) {
+                continue;
+            }
+            sim_node &node = m_nodes[arrived.node];
+            if (arrived.record) {
+                node.router.setMove(arrived.record, true);
+                node.detector.setShare(arrived.record->sharePercent);
+            }
+            if (arrived.fact) {
+                node.router.addFact(*arrived.fact);
+                node.fact = arrived.fact;
+            }
+        }
+        std::erase_if(m_messages, [&](const message &arrived) { return arrived.atMs <= m_nowMs; });
+    }
+
+    void serveTick()
+    {
+        if (uniform(0, 1) < m_scenario.hiccupsPerMinute * TICK_MS / 60'000) {
+            m_hiccupUntilMs = static_cast<double>(m_nowMs) + HICCUP_MS;
+        }
+        const auto count = std::poisson_distribution<int>(m_queriesPerSecond * TICK_MS / 1'000)(m_random);
+        for (int i = 0; i < count; ++i) {
+            serve();
+        }
+    }
+
+    bool faultActive(std::size_t route) const
+    {
+        return !m_scenario.good && static_cast<double>(m_nowMs) >= m_faultFromMs && m_record.sharePercent > m_scenario.faultAboveSharePercent
+            && (!m_scenario.oneRoute || route == FAULTY_ROUTE);
+    }
+
+    void serve()
+    {
+        sim_node &node = m_nodes[m_random() % NODES];
+        const bool toNew = node.router.choose(m_random(), START_MS + m_nowMs, version_id("old")) == version_id("new");
+        const std::size_t route = m_routes(m_random);
+        ++m_result.queries;
+        double errorRate = m_errorRate + (static_cast<double>(m_nowMs) < m_hiccupUntilMs ? HICCUP_ERROR_RATE : 0);
+        double latencyUs = MEDIAN_LATENCY_US * std::exp(m_scenario.latencySigma * m_normal(m_random));
+        bool seenWarm = true;
+        if (toNew) {
+            m_lastNewMs = m_nowMs;
+            latencyUs *= static_cast<double>(m_nowMs) < m_coldMs ? COLD_FACTOR : 1;
+            seenWarm = static_cast<double>(m_nowMs) >= m_seenColdMs;
+        }
+        bool failed = uniform(0, 1) < errorRate;
+        if (toNew && faultActive(route)) {
+            const bool hit = uniform(0, 1) < m_scenario.addedErrorRate;
+            failed = failed || hit;
+            latencyUs *= m_scenario.latencyFactor;
+            noteBad(hit || m_scenario.latencyFactor > 1);
+        }
+        node.detector.record({ROUTES[route], toNew, failed, seenWarm, duration(std::llround(latencyUs)), clock()});
+        m_newErrors += toNew && failed ? 1 : 0;
+    }
+
+    void noteBad(bool hit)
+    {
+        m_result.largestFaultyShare = std::max(m_result.largestFaultyShare, m_record.sharePercent);
+        if (hit) {
+            ++m_result.badQueries;
+            m_firstBadMs = m_firstBadMs.value_or(m_nowMs);
+        }
+    }
+
+    void checkNodes()
+    {
+        for (sim_node &node : m_nodes) {
+            if (node.published || !node.detector.check(clock())) {
+                continue;
+            }
+            node.published = true;
+            node.fact = node.detector.check(clock());
+            node.router.addFact(*node.fact);
+            broadcast(std::nullopt, node.fact);
+        }
+    }
+
+    void drive()
+    {
+        const move_decision decision = m_judge == move_judge::controller ? decideByController() : decideByErrorCount();
+        if (decision.action == move_action::none) {
+            return;
+        }
+        m_shareBefore = m_record.sharePercent;
+        m_record = decision.record;
+        m_newErrors = 0;
+        if (decision.action == move_action::finish) {
+            m_result.finishedInTime = true;
+        }
+        if (decision.action != move_action::grow) {
+            m_result.endMs = m_nowMs;
+            m_result.reason = fmt::format("{:.1f} s, {}%: {}", static_cast<double>(m_nowMs) / 1'000, m_shareBefore, decision.reason);
+        }
+        broadcast(m_record, decision.fact);
+    }
+
+    move_decision decideByController()
+    {
+        sim_node &driver = m_nodes[(m_nowMs / DRIVE_MS) % NODES];
+        move_input input{m_record, object_version(1), driver.detector.observations(clock()), {}, {}, START_MS + m_nowMs};
+        for (const sim_node &node : m_nodes) {
+            if (&node != &driver) {
+                input.observations.merge(node.detector.observations(clock()));
+            }
+        }
+        input.warmUp = {2, static_cast<double>(m_nowMs) < m_seenColdMs ? 2U : 0U};
+        if (driver.fact) {
+            input.facts.push_back(*driver.fact);
+        }
+        return move_controller().decide(input);
+    }
+
+    move_decision decideByErrorCount() const
+    {
+        move_decision decision;
+        decision.record = m_record;
+        const std::uint64_t inStepMs = START_MS + m_nowMs - m_record.stepStartedMs;
+        const auto write = [&](move_action action, move_state state, std::uint32_t share) {
+            decision.action = action;
+            decision.record.state = state;
+            decision.record.sharePercent = share;
+            decision.record.stepStartedMs = START_MS + m_nowMs;
+        };
+        if (m_record.isFinal(START_MS + m_nowMs)) {
+            return decision;
+        }
+        if (m_newErrors >= BASELINE_ERRORS) {
+            write(move_action::roll_back, move_state::rolled_back, 0);
+        } else if (m_record.state != move_state::done && inStepMs >= m_scenario.deadlineMs / BASELINE_STEPS) {
+            const std::array<std::uint32_t, 5> shares{5, 10, 25, 50, 100};
+            const auto next = std::upper_bound(shares.begin(), shares.end(), m_record.sharePercent);
+            if (next == shares.end()) {
+                write(move_action::finish, move_state::done, 100);
+            } else {
+                write(move_action::grow, move_state::growing, *next);
+            }
+        }
+        return decision;
+    }
+
+    const move_scenario &m_scenario;
+    move_judge m_judge;
+    std::mt19937_64 m_random;
+    std::uniform_real_distribution<double> m_uniform;
+    std::normal_distribution<double> m_normal;
+    std::discrete_distribution<std::size_t> m_routes{ROUTE_SHARES.begin(), ROUTE_SHARES.end()};
+    move_record m_record;
+    std::vector<sim_node> m_nodes;
+    std::vector<message> m_messages;
+    move_result m_result;
+    std::uint64_t m_nowMs = 0;
+    double m_queriesPerSecond = 0;
+    double m_errorRate = 0;
+    double m_coldMs = 0;
+    double m_seenColdMs = 0;
+    double m_faultFromMs = 0;
+    double m_hiccupUntilMs = 0;
+    std::uint32_t m_shareBefore = 0;
+    std::uint64_t m_newErrors = 0;
+    std::uint64_t m_lastNewMs = 0;
+    std::optional<std::uint64_t> m_firstBadMs;
+};
+
+} // namespace snipefall::bench
--- a/policy/fault_detector.cpp
+++ b/policy/fault_detector.cpp
@@ -1,5 +1,7 @@
 #include "policy/fault_detector.h"
 
+#include <algorithm>
+
 #include "policy/version_comparison.h"
 
 namespace snipefall {
@@ -12,6 +14,12 @@
 constexpr std::int64_t SLOW_WINDOW_S = 10;
 /** A window with fewer answers of the old version is compared with the baseline. */
 constexpr std::uint64_t MIN_WINDOW_ANSWERS = 50;
+/** With fewer seconds the dispersion isn't estimated. */
+constexpr double MIN_DISPERSION_SECONDS = 10;
+/** Slow start may take a server for warm early; the new version's latency isn't compared until this long after its last cold answer, */
+constexpr duration WARM_UP_MARGIN = std::chrono::seconds(2);
+/** but only in the first seconds of a move, so that one restarting server doesn't hide the latency of all others. */
+constexpr duration MAX_WARM_UP = std::chrono::seconds(15);
 
 std::int64_t secondOf(time_point at)
 {
@@ -28,6 +36,28 @@
 {
 }
 
+void fault_detector::dispersion_sums::add(const slice &past)
+{
+    if (past.second < 0 || past.counts.oldVersion.answers == 0) {
+        return;
+    }
+    const auto pastAnswers = static_cast<double>(past.counts.oldVersion.answers);
+    const auto pastErrors = static_cast<double>(past.counts.oldVersion.errors);
+    ++seconds;
+    answers += pastAnswers;
+    errors += pastErrors;
+    squaredErrorsPerAnswer += pastErrors * pastErrors / pastAnswers;
+}
+
+double fault_detector::dispersion_sums::excess() const
+{
+    if (seconds < MIN_DISPERSION_SECONDS || errors == 0) {
+        return 0;
+    }
+    // Pearson's statistic over its degrees of freedom.
+    return (squaredErrorsPerAnswer * answers / errors - errors) / (seconds - 1) - 1;
+}
+
 void fault_detector::setShare(std::uint32_t sharePercent)
 {
     if (sharePercent == m_sharePercent) {
@@ -35,11 +65,10 @@
     }
     m_sharePercent = sharePercent;
     for (auto &[route, state] : m_routes) {
-        if (state.step.oldVersion.answers >= MIN_WINDOW_ANSWERS) {
-            state.oldEarlier = state.step.oldVersion;
-        } else {
-            state.oldEarlier.merge(state.step.oldVersion);
+        for (const slice &past : state.slices) {
+            state.dispersion.add(past);
         }
+        state.oldEarlier.merge(state.step.oldVersion);
         state.step = {};
         // Answers from before the step must not count as recent answers at the new share.
         state.slices = {};
@@ -48,8 +77,14 @@
 
 void fault_detector::record(const sub_answer_sample &sample)
 {
-    add(m_routes[sample.route], sample);
-    add(m_routes[ALL_ROUTES], sample);
+    sub_answer_sample counted = sample;
+    if (sample.newVersion) {
+        m_firstNew = m_firstNew.value_or(sample.at);
+        m_lastCold = sample.warm ? m_lastCold : sample.at;
+        counted.warm = sample.warm && (sample.at - m_lastCold >= WARM_UP_MARGIN || sample.at - *m_firstNew >= MAX_WARM_UP);
+    }
+    add(m_routes[sample.route], counted);
+    add(m_routes[ALL_ROUTES], counted);
 }
 
 void fault_detector::add(route_state &state, const sub_answer_sample &sample)
@@ -57,6 +92,7 @@
     const std::int64_t second = secondOf(sample.at);
     slice &current = state.slices[static_cast<std::size_t>(second) % SLICES];
     if (current.second != second) {
+        state.dispersion.add(current);
         current = {second, {}};
     }
     for (route_counts *counts : {&state.step, &current.counts}) {
@@ -82,18 +118,15 @@
     return sum;
 }
 
-version_counts fault_detector::baseline(const route_state &state)
-{
-    version_counts sum = state.oldEarlier;
-    sum.merge(state.step.oldVersion);
-    return sum;
-}
-
-route_counts fault_detector::comparable(const route_state &state, time_point now, std::int64_t seconds)
+route_counts fault_detector::comparable(route_counts counts, const route_state &state) const
 {
-    route_counts counts = window(state, now, seconds);
     if (counts.oldVersion.answers < MIN_WINDOW_ANSWERS) {
-        counts.oldVersion = baseline(state);
+        counts.oldVersion = state.oldEarlier;
+        counts.oldVersion.merge(state.step.oldVersion);
+        // The sum of all routes gives the steadier estimate; dispersion grows in proportion to the number of answers.
+        const dispersion_sums &all = m_routes.at(ALL_ROUTES).dispersion;
+        const double share = all.answers > 0 ? state.dispersion.answers / all.answers : 0;
+        counts.excessDispersion = std::max(state.dispersion.excess(), all.excess() * share);
     }
     return counts;
 }
@@ -107,9 +140,9 @@
     counts_by_route slow;
     counts_by_route step;
     for (const auto &[route, state] : m_routes) {
-        fast[route] = comparable(state, now, FAST_WINDOW_S);
-        slow[route] = comparable(state, now, SLOW_WINDOW_S);
-        step[route] = {baseline(state), state.step.newVersion};
+        fast[route] = comparable(window(state, now, FAST_WINDOW_S), state);
+        slow[route] = comparable(window(state, now, SLOW_WINDOW_S), state);
+        step[route] = comparable(state.step, state);
     }
     for (const counts_by_route *routes : {&fast, &slow, &step}) {
         const comparison_evidence evidence = compareRoutes(*routes);
@@ -125,8 +158,8 @@
 {
     move_observations result{m_moveId, m_sharePercent, {}, {}};
     for (const auto &[route, state] : m_routes) {
-        result.step[route] = {baseline(state), state.step.newVersion};
-        result.recent[route] = comparable(state, now, SLOW_WINDOW_S);
+        result.step[route] = comparable(state.step, state);
+        result.recent[route] = comparable(window(state, now, SLOW_WINDOW_S), state);
     }
     return result;
 }
--- a/policy/fault_detector.h
+++ b/policy/fault_detector.h
@@ -39,24 +39,37 @@
         std::int64_t second = -1;
         route_counts counts;
     };
+    /** Sums over the seconds that have left the slices, for the dispersion of the old version's errors. */
+    struct dispersion_sums
+    {
+        double seconds = 0;
+        double answers = 0;
+        double errors = 0;
+        double squaredErrorsPerAnswer = 0;
+
+        void add(const slice &past);
+        double excess() const;
+    };
     struct route_state
     {
         std::array<slice, SLICES> slices;
-        version_counts oldEarlier; ///< The old version at earlier shares, as baseline when it gets little traffic.
+        version_counts oldEarlier; ///< The old version at earlier shares of this move.
         route_counts step;
+        dispersion_sums dispersion;
     };
 
     static void add(route_state &state, const sub_answer_sample &sample);
     static route_counts window(const route_state &state, time_point now, std::int64_t seconds);
-    static version_counts baseline(const route_state &state);
-    /** Counts of a window; the old version's are its baseline when the window has too few. */
-    static route_counts comparable(const route_state &state, time_point now, std::int64_t seconds);
+    /** The counts with the old version's whole move as baseline when they hold too few of its answers. */
+    route_counts comparable(route_counts counts, const route_state &state) const;
 
     service_id m_service;
     version_id m_to;
     std::string m_moveId;
     std::uint32_t m_sharePercent;
     std::map<std::string, route_state> m_routes;
+    std::optional<time_point> m_firstNew; ///< First answer of the new version.
+    time_point m_lastCold; ///< Last answer of a cold backend server of the new version.
     std::optional<bad_version_fact> m_found;
 };
 
--- a/policy/move_controller.cpp
+++ b/policy/move_controller.cpp
@@ -15,19 +15,19 @@
 constexpr std::array<std::uint32_t, 5> SHARES_PERCENT{5, 10, 25, 50, 100};
 constexpr std::uint32_t FULL_SHARE_PERCENT = 100;
 /** Probability that a good version is rolled back by chance during the whole move. */
-constexpr double SIGNIFICANCE = 0.01;
+constexpr double SIGNIFICANCE = 0.05;
 /** A move has up to 6 steps and the observation period, each tested on its total and on its recent window. */
 constexpr double TESTS_PER_MOVE = 14;
 /** Evidence of ln(10) or more is no proof of a fault, but the share doesn't grow on it. */
 constexpr double HOLD_LOG_EVIDENCE = 2.3;
 /** A step with this many answers of the new version is judged at once. */
-constexpr std::uint64_t WANTED_STEP_ANSWERS = 300;
+constexpr std::uint64_t WANTED_STEP_ANSWERS = 1'000;
 /** Below this, no step is judged; with it, a step is judged when its part of the time is used up. */
 constexpr std::uint64_t MIN_STEP_ANSWERS = 20;
 constexpr std::uint64_t SHORTEST_STEP_MS = 1'000;
-constexpr std::uint64_t LONGEST_MIN_STEP_MS = 5'000;
-constexpr std::uint64_t STEPS_PER_MOVE_TIME = 40;
-/** Servers that are still cold after this time are judged like warm ones. */
+constexpr std::uint64_t LONGEST_MIN_STEP_MS = 30'000;
+constexpr std::uint64_t STEPS_PER_MOVE_TIME = 10;
+/** Servers that are still cold after this time hold the move no longer; those that are warm are enough to judge it. */
 constexpr std::uint64_t MAX_WARM_UP_MS = 15'000;
 
 std::uint64_t elapsed(std::uint64_t sinceMs, std::uint64_t nowMs)
@@ -92,6 +92,9 @@
     if (answers < MIN_STEP_ANSWERS) {
         return fmt::format("too few samples: {} of at least {} answers of the new version at {}%", answers, MIN_STEP_ANSWERS, record.sharePercent);
     }
+    if (input.observations.newLatencies() < MIN_STEP_ANSWERS / 2) {
+        return "too few latencies of warm backend servers of the new version";
+    }
     const std::uint64_t moveMs = record.deadlineMs - record.startedMs;
     if (inStep < std::clamp(moveMs / STEPS_PER_MOVE_TIME, SHORTEST_STEP_MS, LONGEST_MIN_STEP_MS)) {
         return "shortest time of a step";
--- a/policy/move_observations.cpp
+++ b/policy/move_observations.cpp
@@ -28,4 +28,10 @@
     return all == step.end() ? 0 : all->second.newVersion.answers;
 }
 
+std::uint64_t move_observations::newLatencies() const
+{
+    const auto all = step.find(ALL_ROUTES);
+    return all == step.end() ? 0 : all->second.newVersion.latency.total();
+}
+
 } // namespace snipefall
--- a/policy/route_counts.h
+++ b/policy/route_counts.h
@@ -12,11 +12,18 @@
 {
     version_counts oldVersion;
     version_counts newVersion;
+    /**
+     * How much more the old version's errors vary between seconds than independent ones would (variance over mean, minus 1).
+     * Set only when the old version's counts are from another time than the new one's; periods of errors then fall into one of them by chance.
+     */
+    double excessDispersion = 0;
 
     void merge(const route_counts &other)
     {
         oldVersion.merge(other.oldVersion);
         newVersion.merge(other.newVersion);
+        // Periods of errors that all nodes see at the same time vary in proportion to the number of answers.
+        excessDispersion += other.excessDispersion;
     }
 
     bool operator==(const route_counts &) const = default;
--- a/policy/version_comparison.cpp
+++ b/policy/version_comparison.cpp
@@ -36,8 +36,10 @@
     }
 }
 
-void compareErrors(const version_counts &oldCounts, const version_counts &newCounts, comparison_evidence &strongest)
+void compareErrors(const route_counts &counts, comparison_evidence &strongest)
 {
+    const version_counts &oldCounts = counts.oldVersion;
+    const version_counts &newCounts = counts.newVersion;
     const bool hasBaseline = oldCounts.answers >= MIN_BASELINE_ANSWERS;
     const std::uint64_t oldErrors = hasBaseline ? oldCounts.errors : ASSUMED_BASELINE_ERRORS;
     const std::uint64_t oldAnswers = hasBaseline ? oldCounts.answers : ASSUMED_BASELINE_ANSWERS;
@@ -46,8 +48,10 @@
     if (newRate - oldRate < MIN_ERROR_INCREASE) {
         return;
     }
-    raise(strongest, rateIncreaseEvidence(oldErrors, oldAnswers, newCounts.errors, newCounts.answers), [&] {
-        return fmt::format("error rate {:.4f} against {:.4f} in {} and {} answers", newRate, oldRate, newCounts.answers, oldAnswers);
+    const double dispersion = 1 + std::max(0.0, counts.excessDispersion);
+    const std::uint64_t newAnswers = newCounts.answers;
+    raise(strongest, rateIncreaseEvidence(oldErrors, oldAnswers, newCounts.errors, newAnswers) / dispersion, [&] {
+        return fmt::format("error rate {:.4f} against {:.4f} in {} and {} answers", newRate, oldRate, newAnswers, oldAnswers);
     });
 }
 
@@ -92,12 +96,12 @@
     return highest + std::log(sum / static_cast<double>(logs.size()));
 }
 
-comparison_evidence compareVersions(const version_counts &oldCounts, const version_counts &newCounts)
+comparison_evidence compareVersions(const route_counts &counts)
 {
     comparison_evidence strongest;
-    compareErrors(oldCounts, newCounts, strongest);
+    compareErrors(counts, strongest);
     for (const double quantile : LATENCY_QUANTILES) {
-        compareLatency(oldCounts.latency, newCounts.latency, quantile, strongest);
+        compareLatency(counts.oldVersion.latency, counts.newVersion.latency, quantile, strongest);
     }
     return strongest;
 }
@@ -106,7 +110,7 @@
 {
     comparison_evidence strongest;
     for (const auto &[route, counts] : routes) {
-        const comparison_evidence found = compareVersions(counts.oldVersion, counts.newVersion);
+        const comparison_evidence found = compareVersions(counts);
         raise(strongest, found.logEvidence, [&, &name = route] { return fmt::format("route {}: {}", name, found.finding); });
     }
     return strongest;
--- a/policy/version_comparison.h
+++ b/policy/version_comparison.h
@@ -26,7 +26,7 @@
 double rateIncreaseEvidence(std::uint64_t oldEvents, std::uint64_t oldTotal, std::uint64_t newEvents, std::uint64_t newTotal);
 
 /** Compares error rate and latency (shares of answers above the old version's p75 and p95) on one route; differences of no practical weight give 0. */
-comparison_evidence compareVersions(const version_counts &oldCounts, const version_counts &newCounts);
+comparison_evidence compareVersions(const route_counts &counts);
 
 /** The strongest evidence among all entries. */
 comparison_evidence compareRoutes(const counts_by_route &routes);
