--- a/tests/policy/test_fault_detector.cpp
+++ b/tests/policy/test_fault_detector.cpp
@@ -106,6 +106,27 @@
     BOOST_TEST(found == (sample.foundWithinS > 0));
 }
 
+// Guards against taking periods of errors that the old version had as well for a fault, when there is nothing to compare with at the same time.
+BOOST_AUTO_TEST_CASE(discountsErrorBursts)
+{
+    const auto foundAtFullShare = [](bool oldHadBursts) {
+        fault_detector detector(sampleMove());
+        const auto serve = [&](int second, bool isNew, bool burst) {
+            for (int i = 0; i < 200; ++i) {
+                detector.record({"/r", isNew, i == 0 || (burst && i % 10 == 0), true, 20ms, time_point(std::chrono::seconds(second) + 5ms * i)});
+            }
+            return detector.check(time_point(std::chrono::seconds(second) + 999ms)).has_value();
+        };
+        for (int second = 0; second < 60; ++second) {
+            BOOST_REQUIRE(!serve(second, false, oldHadBursts && second % 30 < 2));
+        }
+        detector.setShare(100);
+        return serve(60, true, true);
+    };
+    BOOST_TEST(!foundAtFullShare(true));
+    BOOST_TEST(foundAtFullShare(false));
+}
+
 // Guards the evidence against chance and against a missing baseline; ln(1000) is strong.
 BOOST_DATA_TEST_CASE(weighsRates, RATE_CASES)
 {
