--- /dev/null
+++ b/tests/node/load_thread.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <atomic>
+#include <string>
+#include <thread>
+
+#include "tests/node/test_site.h"
+
+namespace snipefall {
+
+/** Sends queries to a node until told to stop, and counts what became of them. */
+class load_thread
+{
+public:
+    load_thread(test_site &site, std::string node)
+        : m_thread([this, &site, node = std::move(node)] {
+            while (!m_stop) {
+                const test_site::answer answer = site.query(node);
+                ++(answer.status == 0 ? cut : answer.status == 200 ? answered : refused);
+                if (answer.status == 200 && !test_site::labelIsTrue(answer.body)) {
+                    ++falseLabels;
+                }
+            }
+        })
+    {
+    }
+
+    ~load_thread() { stop(); }
+
+    void stop()
+    {
+        m_stop = true;
+        if (m_thread.joinable()) {
+            m_thread.join();
+        }
+    }
+
+    std::atomic<int> answered{0};
+    std::atomic<int> refused{0};
+    std::atomic<int> cut{0};
+    std::atomic<int> falseLabels{0};
+
+private:
+    std::atomic<bool> m_stop{false};
+    std::thread m_thread;
+};
+
+} // namespace snipefall
