--- a/blackboard/topology_board.h
+++ b/blackboard/topology_board.h
@@ -11,4 +11,4 @@
 /** The backend servers of each service; written by the topology controller, read by the query path. */
 using topology_board = sharded_table<service_id, std::shared_ptr<const service_topology>>;
 
-}
+} // namespace snipefall
--- a/node/caller_api.cpp
+++ b/node/caller_api.cpp
@@ -40,18 +40,22 @@
 
 } // namespace
 
-caller_api::caller_api(const entry_service &entries, const hop_forwarder &hops, query_service &queries, execute_service &executions)
+caller_api::caller_api(
+    const entry_service &entries, const hop_forwarder &hops, query_service &queries, execute_service &executions, configured_function isConfigured)
     : m_entries(entries)
     , m_hops(hops)
     , m_queries(queries)
     , m_executions(executions)
+    , m_isConfigured(std::move(isConfigured))
 {
 }
 
 http_response caller_api::handle(const http_request &request)
 {
     const running_guard guard(m_running);
-    http_response response = route(request);
+    ++m_arrived;
+    http_response response =
+        m_isConfigured() ? route(request) : errorResponse(503, error_code::unavailable, "the node is starting and has no configuration", run_state::not_run);
     response.closeConnection = response.closeConnection || m_draining;
     return response;
 }
--- a/node/caller_api.h
+++ b/node/caller_api.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <atomic>
+#include <cstdint>
+#include <functional>
 #include <string>
 
 #include "core/json.h"
@@ -18,7 +20,10 @@
 class caller_api
 {
 public:
-    caller_api(const entry_service &entries, const hop_forwarder &hops, query_service &queries, execute_service &executions);
+    /** Whether this node has a configuration; before that it can't tell which services exist. */
+    using configured_function = std::function<bool()>;
+
+    caller_api(const entry_service &entries, const hop_forwarder &hops, query_service &queries, execute_service &executions, configured_function isConfigured);
 
     http_response handle(const http_request &request);
 
@@ -26,6 +31,8 @@
     void startDraining() { m_draining = true; }
     /** Requests that are being answered. */
     int running() const { return m_running; }
+    /** Requests that arrived since the start. */
+    std::uint64_t arrived() const { return m_arrived; }
 
 private:
     http_response route(const http_request &request);
@@ -34,8 +41,10 @@
     const hop_forwarder &m_hops;
     query_service &m_queries;
     execute_service &m_executions;
+    configured_function m_isConfigured;
     std::atomic<bool> m_draining{false};
     std::atomic<int> m_running{0};
+    std::atomic<std::uint64_t> m_arrived{0};
 };
 
 } // namespace snipefall
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -16,7 +16,7 @@
 constexpr std::chrono::milliseconds PERMIT_INTERVAL{200};
 constexpr std::chrono::milliseconds MOVE_INTERVAL{500};
 constexpr std::chrono::milliseconds FAULT_INTERVAL{100};
-constexpr std::chrono::milliseconds DRAIN_CHECK_INTERVAL{5};
+constexpr std::chrono::milliseconds QUIET_TIME{250};
 constexpr duration DRAINING_LIFETIME = std::chrono::minutes(10);
 // Waits for a configuration pull between two platform reads.
 constexpr std::chrono::milliseconds CONFIGURATION_STEP_INTERVAL{100};
@@ -109,9 +109,12 @@
     const auto ttl = std::chrono::milliseconds(parts.replica.current()->entryTtlMs);
     std::this_thread::sleep_for(ttl + m_settings.drainMargin);
     parts.callers.startDraining();
-    while (parts.callers.running() > 0) {
-        std::this_thread::sleep_for(DRAIN_CHECK_INTERVAL);
-    }
+    // A response that was just computed may still be on its way out, and a request on its way in, so the end is a time without any.
+    std::uint64_t arrived = 0;
+    do {
+        arrived = parts.callers.arrived();
+        std::this_thread::sleep_for(QUIET_TIME);
+    } while (parts.callers.running() > 0 || parts.callers.arrived() != arrived);
     self.callerServer->stop();
     for (const auto &thread : self.threads) {
         thread->stop();
--- a/node/node_parts.cpp
+++ b/node/node_parts.cpp
@@ -92,7 +92,7 @@
                           logWarning("claim.not_recorded", {{"request", request.str()}, {"reason", recorded.reason().message}});
                       }
                   }})
-    , callers(entries, hops, queries, executions)
+    , callers(entries, hops, queries, executions, [this] { return configurations.ready(); })
     , operators(replica,
                 tokens,
                 {[this](const configuration_patch &patch) { return commit(patch); },
--- a/policy/latency_estimator.h
+++ b/policy/latency_estimator.h
@@ -4,8 +4,8 @@
 #include <optional>
 #include <unordered_map>
 
-#include "policy/latency_estimate.h"
 #include "policy/decaying_histogram.h"
+#include "policy/latency_estimate.h"
 #include "policy/latency_key.h"
 
 namespace snipefall {
--- a/policy/planned_query.h
+++ b/policy/planned_query.h
@@ -17,4 +17,4 @@
     bool empty() const { return !plan || plan->shards.empty(); }
 };
 
-}
+} // namespace snipefall
