Test pauses and split healing without help from other mechanisms

Two trial mutations survived the tests: without the handling of pauses, and without probes of dead members, because seeds on both sides healed the split. The split test now drops the seeds, and a direct test jumps the clock of a probing node.

--- a/tests/policy/test_gossip_engine.cpp
+++ b/tests/policy/test_gossip_engine.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -99,12 +101,45 @@
     BOOST_TEST(network.agrees());
 }
 
-// Guards against two halves that never find each other again, and against deaths of one side that kill live members of the other after the split.
+// Guards against a process that accuses others of not having answered while it was itself stopped.
+BOOST_AUTO_TEST_CASE(wakingNodeAccusesNobody)
+{
+    member self;
+    self.id = node_id("self");
+    self.peerAddress = "10.0.0.1:1";
+    membership node(membership_settings(), self, 18);
+    gossip_message hello;
+    hello.updates.push_back({self, node_id()});
+    hello.updates[0].subject.id = node_id("peer");
+    const time_point start{std::chrono::hours(1)};
+    (void)node.tick(start);
+    (void)node.receive(start, node_id("peer"), "10.0.0.2:1", hello);
+    time_point now = start;
+    for (bool probing = false; !probing; now += milliseconds(50)) {
+        const auto sent = node.tick(now);
+        probing = std::any_of(sent.begin(), sent.end(), [](const outgoing_gossip &out) { return out.recipient == node_id("peer"); });
+    }
+    now += seconds(30);
+    (void)node.tick(now);
+    BOOST_TEST(toString(node.others().find(node_id("peer"))->state) == "alive");
+    // Without a pause, the same silence is a failed probe.
+    for (int i = 0; i < 50; ++i) {
+        (void)node.tick(now += milliseconds(50));
+    }
+    BOOST_TEST(toString(node.others().find(node_id("peer"))->state) == "suspect");
+    // The peer keeps its time to refute during a second pause.
+    (void)node.tick(now += seconds(30));
+    BOOST_TEST(toString(node.others().find(node_id("peer"))->state) == "suspect");
+}
+
+// Guards against two halves that never find each other again, here without the help of seeds, and against deaths of one side that kill live members of the
+// other after the split.
 BOOST_DATA_TEST_CASE(splitHeals, NETWORK_CASES)
 {
     gossip_network network = joinedNetwork(sample.size, sample.loss, 14);
     for (std::size_t i = 0; i < network.size(); ++i) {
         network.setSide(i, i < sample.size / 3 ? 1 : 0);
+        network.engine(i).nodes().setSeeds({});
     }
     network.run(minutes(3));
     const std::size_t died = network.events(member_event_kind::died);
