--- a/bench/bench_moves.cpp
+++ b/bench/bench_moves.cpp
@@ -123,9 +123,9 @@
 /** Lists the first moves of a class that were judged wrongly. */
 void printMisjudged(const move_scenario &scenario, const std::vector<move_result> &results)
 {
-    constexpr int mostLines = 6;
+    constexpr int MOST_LINES = 6;
     int lines = 0;
-    for (std::size_t i = 0; i < results.size() && lines < mostLines; ++i) {
+    for (std::size_t i = 0; i < results.size() && lines < MOST_LINES; ++i) {
         if (results[i].rolledBack == scenario.good) {
             fmt::print("  {} {}: {}\n", scenario.name, i, results[i].reason);
             ++lines;
--- a/core/logger.cpp
+++ b/core/logger.cpp
@@ -29,8 +29,8 @@
 
 std::map<std::string, event_rate, std::less<>> &eventRates()
 {
-    static std::map<std::string, event_rate, std::less<>> rates;
-    return rates;
+    static std::map<std::string, event_rate, std::less<>> s_rates;
+    return s_rates;
 }
 
 bool needsQuotes(std::string_view value)
--- a/peer/refusal_reason.h
+++ b/peer/refusal_reason.h
@@ -25,7 +25,7 @@
 
 inline const char *toString(refusal_reason reason)
 {
-    constexpr const char *names[REFUSAL_REASONS] = {"address_not_allowed",
+    constexpr const char *NAMES[REFUSAL_REASONS] = {"address_not_allowed",
                                                     "oversized",
                                                     "malformed",
                                                     "unknown_version",
@@ -37,7 +37,7 @@
                                                     "stale_incarnation",
                                                     "replayed",
                                                     "unknown_kind"};
-    return names[static_cast<std::size_t>(reason)];
+    return NAMES[static_cast<std::size_t>(reason)];
 }
 
 } // namespace snipefall
--- a/policy/member_event.h
+++ b/policy/member_event.h
@@ -17,8 +17,8 @@
 
 inline const char *toString(member_event_kind kind)
 {
-    constexpr const char *names[] = {"joined", "suspected", "refuted", "died", "departed", "restarted", "id_conflict"};
-    return names[static_cast<int>(kind)];
+    constexpr const char *NAMES[] = {"joined", "suspected", "refuted", "died", "departed", "restarted", "id_conflict"};
+    return NAMES[static_cast<int>(kind)];
 }
 
 /** A change in what this node believes of a member. */
--- a/policy/member_state.h
+++ b/policy/member_state.h
@@ -21,8 +21,8 @@
 
 inline const char *toString(member_state state)
 {
-    constexpr const char *names[] = {"alive", "suspect", "dead", "left"};
-    return names[static_cast<std::uint8_t>(state) & 3U];
+    constexpr const char *NAMES[] = {"alive", "suspect", "dead", "left"};
+    return NAMES[static_cast<std::uint8_t>(state) & 3U];
 }
 
 } // namespace snipefall
--- a/tests/policy/test_fault_detector.cpp
+++ b/tests/policy/test_fault_detector.cpp
@@ -140,20 +140,20 @@
     const version_id newVersion("v2");
     const version_id configured("v0");
     version_router router(service_id("s"));
-    constexpr std::uint64_t queries = 20'000;
+    constexpr std::uint64_t QUERIES = 20'000;
     BOOST_CHECK(router.choose(1, SAMPLE_START_MS, configured) == configured);
-    std::vector<bool> before(queries, false);
+    std::vector<bool> before(QUERIES, false);
     for (const std::uint32_t share : {1U, 5U, 10U, 25U, 50U, 100U}) {
         router.setMove(sampleMoveAt(move_state::growing, share, SAMPLE_START_MS + share), true);
         std::uint64_t routed = 0;
-        for (std::uint64_t i = 0; i < queries; ++i) {
+        for (std::uint64_t i = 0; i < QUERIES; ++i) {
             const bool toNew = router.choose(stableHash(std::to_string(i)), SAMPLE_START_MS + 200, configured) == newVersion;
             BOOST_REQUIRE((toNew || !before[i]));
             before[i] = toNew;
             routed += toNew ? 1 : 0;
         }
         // Four standard deviations of the binomial distribution.
-        BOOST_TEST(std::abs(static_cast<double>(routed) - queries * share / 100.0) <= 4 * std::sqrt(queries * share * (100.0 - share)) / 100);
+        BOOST_TEST(std::abs(static_cast<double>(routed) - QUERIES * share / 100.0) <= 4 * std::sqrt(QUERIES * share * (100.0 - share)) / 100);
     }
     router.addFact({service_id("other"), newVersion, "m1", ""});
     router.addFact({service_id("s"), newVersion, "m0", ""});
--- a/tests/policy/test_placement.cpp
+++ b/tests/policy/test_placement.cpp
@@ -113,13 +113,13 @@
     members[5].weight = 2.0;
     members[6].weight = 0.0;
     std::map<node_id, int> first;
-    constexpr int services = 12000;
-    for (int i = 0; i < services; ++i) {
+    constexpr int SERVICES = 12000;
+    for (int i = 0; i < SERVICES; ++i) {
         ++first[placeService(serviceOf(i), members, 3).front().id];
     }
     BOOST_TEST(!first.contains(members[6].id));
     for (const auto &member : members) {
-        const double expected = services * member.weight / 12.0; // The sum of the weights is 12.
+        const double expected = SERVICES * member.weight / 12.0; // The sum of the weights is 12.
         BOOST_TEST(std::abs(first[member.id] - expected) <= 0.12 * expected);
     }
 }
--- a/tests/stand_ins/backend_switches.cpp
+++ b/tests/stand_ins/backend_switches.cpp
@@ -86,10 +86,10 @@
 
 std::string readBad(const json &object, backend_switches &target)
 {
-    static const std::set<std::string> modes{"off", "now", "after_ms", "route", "load"};
+    static const std::set<std::string> s_modes{"off", "now", "after_ms", "route", "load"};
     member_reader reader(object);
     reader.read("mode", target.badMode);
-    reader.expect(modes.contains(target.badMode), "bad.mode", "off, now, after_ms, route or load");
+    reader.expect(s_modes.contains(target.badMode), "bad.mode", "off, now, after_ms, route or load");
     reader.readCount("after_ms", target.badAfterMs);
     reader.read("route", target.badRoute);
     reader.readCount("load", target.badLoad);
@@ -105,23 +105,23 @@
     if (!switches.is_object()) {
         return "the switches must be a JSON object";
     }
-    static const std::set<std::string> known{"straggle",
-                                             "crash_on",
-                                             "freeze",
-                                             "silent",
-                                             "bad",
-                                             "cold",
-                                             "drain",
-                                             "shed_rate",
-                                             "drop_snapshot",
-                                             "add_snapshot",
-                                             "crossed_answers",
-                                             "lose_execute_answers",
-                                             "health",
-                                             "misleading_health",
-                                             "new_start_time"};
+    static const std::set<std::string> s_known{"straggle",
+                                               "crash_on",
+                                               "freeze",
+                                               "silent",
+                                               "bad",
+                                               "cold",
+                                               "drain",
+                                               "shed_rate",
+                                               "drop_snapshot",
+                                               "add_snapshot",
+                                               "crossed_answers",
+                                               "lose_execute_answers",
+                                               "health",
+                                               "misleading_health",
+                                               "new_start_time"};
     for (const auto &[name, value] : switches.items()) {
-        if (!known.contains(name)) {
+        if (!s_known.contains(name)) {
             return "unknown switch: " + name;
         }
     }
