--- /dev/null
+++ b/tests/node/test_connections.cpp
@@ -0,0 +1,167 @@
+#include <chrono>
+#include <csignal>
+#include <map>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "tests/node/load_thread.h"
+#include "tests/node/test_site.h"
+
+using namespace snipefall;
+
+namespace {
+
+// Largest share of shed requests of a cold server, 1 in this many.
+constexpr int MIN_REQUESTS_PER_SHED = 20;
+
+int counted(test_site &site, const std::string &server, const char *what)
+{
+    return site.server(server).state()["requests"].value(what, 0);
+}
+
+bool goesOn(const load_thread &load)
+{
+    const int before = load.answered;
+    return test_site::waitFor([&] { return load.answered > before + 20; });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(connection_tests)
+
+// Guards against queries that wait for connections which went silent, and against a server that is given up although new connections work.
+BOOST_DATA_TEST_CASE(silentConnectionsAreReplaced, boost::unit_test::data::make({false, true}), allServers)
+{
+    test_site site;
+    site.addServer("a", "domain-1");
+    site.addServer("b", "domain-2");
+    site.startService(2);
+    load_thread first(site, "node-1");
+    load_thread second(site, "node-2");
+    BOOST_TEST(goesOn(first));
+    site.server("a").control({{"silent", true}});
+    if (allServers) {
+        site.server("b").control({{"silent", true}});
+    }
+    BOOST_TEST(goesOn(first));
+    BOOST_TEST(goesOn(second));
+    // The unanswered requests are counted apart, so growth shows answers on new connections.
+    const int before = counted(site, "a", "/shards/query");
+    BOOST_TEST(test_site::waitFor([&] { return counted(site, "a", "/shards/query") > before + 100; }));
+    first.stop();
+    second.stop();
+    BOOST_TEST(first.falseLabels + second.falseLabels == 0);
+    BOOST_TEST(first.cut + second.cut == 0);
+    // No query of a later time meets a silent connection.
+    for (const std::string &node : site.nodeNames()) {
+        BOOST_TEST(test_site::waitFor([&] {
+            const test_site::answer answer = site.query(node);
+            return answer.status == 200 && answer.body["coverage"]["missing"].empty();
+        }));
+    }
+}
+
+// Guards against a server that accepts requests and answers none: queries must not wait for it, and it must come back into use.
+BOOST_AUTO_TEST_CASE(frozenServer)
+{
+    test_site site;
+    site.addServer("a", "domain-1");
+    site.addServer("b", "domain-2");
+    site.startService(2);
+    load_thread load(site, "node-1");
+    BOOST_TEST(goesOn(load));
+    site.server("a").control({{"freeze", true}});
+    BOOST_TEST(goesOn(load));
+    site.server("a").control({{"freeze", false}});
+    const int before = counted(site, "a", "/shards/query");
+    BOOST_TEST(test_site::waitFor([&] { return counted(site, "a", "/shards/query") > before + 100; }));
+    load.stop();
+    BOOST_TEST(load.falseLabels == 0);
+    BOOST_TEST(load.cut == 0);
+}
+
+// Guards against full load on a server that turned cold again while its health endpoint and its status say that all is well.
+BOOST_AUTO_TEST_CASE(suddenlyColdServer)
+{
+    test_site site;
+    stand_in_backend_options options = test_site::defaultOptions();
+    options.slots = 6;
+    options.queue = 1;
+    site.addServer("a", "domain-1", options);
+    site.addServer("b", "domain-2", options);
+    site.startService(2, {{"slots_per_server", 6}});
+    std::vector<std::unique_ptr<load_thread>> load;
+    for (int i = 0; i < 6; ++i) {
+        load.push_back(std::make_unique<load_thread>(site, i % 2 == 0 ? "node-1" : "node-2"));
+    }
+    BOOST_TEST(goesOn(*load[0]));
+    site.server("a").control({{"misleading_health", true}, {"health", "healthy"}});
+    const int shedBefore = counted(site, "a", "shed");
+    const int requestsBefore = counted(site, "a", "/shards/query");
+    site.server("a").control({{"cold", {{"ramp_ms", 5000}}}});
+    std::this_thread::sleep_for(std::chrono::seconds(5));
+    const int shed = counted(site, "a", "shed") - shedBefore;
+    const int requests = counted(site, "a", "/shards/query") - requestsBefore;
+    BOOST_TEST_MESSAGE("shed " << shed << " of " << requests << " requests of the cold server");
+    for (const auto &caller : load) {
+        BOOST_TEST(goesOn(*caller));
+    }
+    for (const auto &caller : load) {
+        caller->stop();
+        BOOST_TEST(caller->falseLabels == 0);
+        BOOST_TEST(caller->cut == 0);
+    }
+    // Each overload event reduces the load to one request at a time, which then grows again.
+    BOOST_TEST(shed * MIN_REQUESTS_PER_SHED <= requests);
+}
+
+// Guards against more load than a server's slots while holders of permits are paused beyond their lease, killed, and started again under the same name.
+BOOST_AUTO_TEST_CASE(slotsHoldWhileNodesArePausedAndReplaced)
+{
+    test_site site;
+    stand_in_backend_options options = test_site::defaultOptions();
+    // The stand-in bears more than the two slots that the configuration names, so that it measures the load rather than limits it.
+    options.slots = 16;
+    site.addServer("a", "domain-1", options);
+    site.addServer("b", "domain-2", options);
+    site.startService(3);
+    std::map<std::string, std::unique_ptr<load_thread>> load;
+    for (const std::string &node : site.nodeNames()) {
+        load[node] = std::make_unique<load_thread>(site, node);
+    }
+    int answered = 0;
+    for (int round = 0; round < 3; ++round) {
+        const std::string paused = "node-" + std::to_string(round % 3 + 1);
+        const std::string killed = "node-" + std::to_string((round + 1) % 3 + 1);
+        site.process(paused).signal(SIGSTOP);
+        // Longer than a lease, so that others take the share over.
+        std::this_thread::sleep_for(std::chrono::seconds(7));
+        site.process(paused).signal(SIGCONT);
+        site.process(killed).signal(SIGKILL);
+        load[killed]->stop();
+        answered += load[killed]->answered;
+        BOOST_TEST(load[killed]->falseLabels == 0);
+        site.startNode(killed, "domain-" + killed.substr(5));
+        site.publishVms();
+        BOOST_TEST(test_site::waitFor([&] { return site.query(killed).status == 200; }));
+        load[killed] = std::make_unique<load_thread>(site, killed);
+    }
+    for (const auto &[node, caller] : load) {
+        BOOST_TEST(goesOn(*caller));
+    }
+    for (const auto &[node, caller] : load) {
+        caller->stop();
+        answered += caller->answered;
+        BOOST_TEST(caller->falseLabels == 0);
+    }
+    BOOST_TEST(answered > 0);
+    for (const char *server : {"a", "b"}) {
+        BOOST_TEST(site.server(server).state()["max_running"].get<int>() <= 2);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/node/test_moves.cpp
@@ -0,0 +1,213 @@
+#include <algorithm>
+#include <chrono>
+#include <csignal>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "policy/placement.h"
+#include "tests/node/load_thread.h"
+#include "tests/node/test_site.h"
+
+namespace snipefall {
+
+constexpr int NODES = 3;
+// Long enough for all steps of a good version on a busy machine, and still within the minute of waitFor().
+constexpr long GOOD_MOVE_MS = 50'000;
+
+// A service at v1 whose two versions have two backend servers each, and callers at the nodes.
+class moving_site
+{
+public:
+    moving_site()
+    {
+        site.addServer("a", "domain-1");
+        site.addServer("b", "domain-2");
+        for (const char *id : {"x", "y"}) {
+            stand_in_backend_options options = test_site::defaultOptions();
+            options.version = "v2";
+            site.addServer(id, id[0] == 'x' ? "domain-1" : "domain-2", options);
+        }
+        site.startService(NODES);
+    }
+
+    void startMove(long deadlineMs)
+    {
+        const json body = {{"move_id", "move-1"}, {"to", "v2"}, {"deadline_in_ms", deadlineMs}, {"observation_ms", 60'000}, {"reason", "test"}};
+        const test_site::answer started = site.call(site.addresses("node-1").operators, "POST", "/v1/moves/svc", body);
+        BOOST_TEST_REQUIRE(started.status == 200, started.body.dump());
+        for (const std::string &node : site.nodeNames()) {
+            BOOST_TEST_REQUIRE(test_site::waitFor([&] { return !move(node).is_null(); }));
+        }
+    }
+
+    void startLoad(const std::vector<std::string> &nodes)
+    {
+        for (const std::string &node : nodes) {
+            load.push_back(std::make_unique<load_thread>(site, node));
+        }
+    }
+
+    void stopLoad()
+    {
+        for (const auto &caller : load) {
+            caller->stop();
+            BOOST_TEST(caller->falseLabels == 0);
+        }
+    }
+
+    /** The move as a node describes it, or null. */
+    json move(const std::string &node) const
+    {
+        const test_site::answer described = site.call(site.addresses(node).operators, "GET", "/v1/moves/svc", nullptr);
+        return described.status == 200 ? described.body : json();
+    }
+
+    std::string moveField(const std::string &node, const char *field) const { return jsonValue<std::string>(move(node), field, ""); }
+
+    bool allSay(const std::vector<std::string> &nodes, const char *field, const std::string &value) const
+    {
+        return test_site::waitFor(
+            [&] { return std::all_of(nodes.begin(), nodes.end(), [&](const std::string &node) { return moveField(node, field) == value; }); });
+    }
+
+    int requests(const char *first, const char *second)
+    {
+        const auto of = [this](const char *id) { return site.server(id).state()["requests"].value("/shards/query", 0); };
+        return of(first) + of(second);
+    }
+
+    /** Whether each caller gets 20 more answers. */
+    bool loadGoesOn()
+    {
+        std::vector<int> before;
+        for (const auto &caller : load) {
+            before.push_back(caller->answered);
+        }
+        return test_site::waitFor([&] {
+            for (std::size_t i = 0; i < load.size(); ++i) {
+                if (load[i]->answered < before[i] + 20) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
+    test_site site;
+    std::vector<std::unique_ptr<load_thread>> load;
+};
+
+} // namespace snipefall
+
+using namespace snipefall;
+
+BOOST_AUTO_TEST_SUITE(move_tests)
+
+// Guards against a good version that is rolled back for its cold start, and against nodes that keep sending to the old version afterwards.
+BOOST_AUTO_TEST_CASE(goodVersionThatStartsColdFinishes)
+{
+    moving_site moving;
+    for (const char *id : {"x", "y"}) {
+        moving.site.server(id).control({{"cold", {{"ramp_ms", 3000}}}});
+    }
+    moving.startLoad(moving.site.nodeNames());
+    moving.startMove(GOOD_MOVE_MS);
+    BOOST_TEST(moving.allSay(moving.site.nodeNames(), "state", "done"), moving.move("node-1").dump());
+    // Queries that were sent before the last node knew may still run.
+    std::this_thread::sleep_for(std::chrono::seconds(3));
+    const int before = moving.requests("a", "b");
+    BOOST_TEST(moving.loadGoesOn());
+    BOOST_TEST(moving.requests("a", "b") == before);
+    for (const std::string &node : moving.site.nodeNames()) {
+        const test_site::answer answer = moving.site.query(node);
+        BOOST_TEST(answer.status == 200);
+        BOOST_TEST(jsonValue<std::string>(answer.body, "version", "") == "v2");
+    }
+    moving.stopLoad();
+}
+
+// Guards against new work for a bad version after its fault shows, also when the finding can only travel between the nodes.
+BOOST_DATA_TEST_CASE(badVersionGetsNoWork, boost::unit_test::data::make({false, true}), platformDown)
+{
+    moving_site moving;
+    const std::vector<std::string> nodes = moving.site.nodeNames();
+    moving.startLoad(nodes);
+    moving.startMove(120'000);
+    if (platformDown) {
+        moving.site.platform().control({{"down", true}});
+    }
+    for (const char *id : {"x", "y"}) {
+        moving.site.server(id).control({{"bad", {{"mode", "now"}, {"error_rate", 0.5}}}});
+    }
+    BOOST_TEST(test_site::waitFor(
+        [&] { return std::any_of(nodes.begin(), nodes.end(), [&](const std::string &node) { return !moving.moveField(node, "stopped_here").empty(); }); }));
+    // The promise allows 2 s after the fault shows.
+    std::this_thread::sleep_for(std::chrono::seconds(2));
+    const int before = moving.requests("x", "y");
+    BOOST_TEST(moving.loadGoesOn());
+    BOOST_TEST(moving.requests("x", "y") == before);
+    for (const std::string &node : nodes) {
+        BOOST_TEST(!moving.moveField(node, "stopped_here").empty());
+    }
+    if (platformDown) {
+        BOOST_TEST(moving.moveField("node-1", "state") != "rolled_back");
+        moving.site.platform().control({{"down", false}});
+    }
+    BOOST_TEST(moving.allSay(nodes, "state", "rolled_back"));
+    moving.stopLoad();
+    BOOST_TEST(moving.requests("x", "y") == before);
+}
+
+// Guards against an outcome that is told before it is known, and against nodes that differ about it once the platform is back.
+BOOST_AUTO_TEST_CASE(deadlineDuringAnOutage)
+{
+    moving_site moving;
+    const std::vector<std::string> nodes = moving.site.nodeNames();
+    // Without load the move stays in its first step, so that only the deadline can end it.
+    moving.startMove(15'000);
+    moving.site.platform().control({{"down", true}});
+    BOOST_TEST(moving.allSay(nodes, "outcome", "not_yet_known"));
+    for (const std::string &node : nodes) {
+        for (int i = 0; i < 20; ++i) {
+            const test_site::answer answer = moving.site.query(node);
+            BOOST_TEST(answer.status == 200);
+            BOOST_TEST(jsonValue<std::string>(answer.body, "version", "") == "v1");
+        }
+        BOOST_TEST(moving.moveField(node, "outcome") == "not_yet_known");
+    }
+    moving.site.platform().control({{"down", false}});
+    BOOST_TEST(moving.allSay(nodes, "outcome", "rolled_back"));
+    BOOST_TEST(moving.allSay(nodes, "state", "rolled_back"));
+}
+
+// Guards against a move that stands still because the node that drove it is gone.
+BOOST_AUTO_TEST_CASE(killedDriverIsReplaced)
+{
+    moving_site moving;
+    std::vector<placement_member> members;
+    for (int i = 1; i <= NODES; ++i) {
+        placement_member member;
+        member.id = node_id("node-" + std::to_string(i));
+        member.domain = failure_domain_id("domain-" + std::to_string(i));
+        members.push_back(member);
+    }
+    const std::string driver = placeService(service_id("svc"), members, NODES).front().id.str();
+    std::vector<std::string> others;
+    for (const std::string &node : moving.site.nodeNames()) {
+        if (node != driver) {
+            others.push_back(node);
+        }
+    }
+    moving.startLoad(others);
+    moving.startMove(GOOD_MOVE_MS);
+    BOOST_TEST(moving.allSay(others, "state", "growing"));
+    moving.site.process(driver).signal(SIGKILL);
+    BOOST_TEST(moving.allSay(others, "state", "done"), moving.move(others[0]).dump());
+    moving.stopLoad();
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/node/test_site.cpp
+++ b/tests/node/test_site.cpp
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "core/clock.h"
+#include "core/crypto.h"
 #include "core/invariant.h"
 #include "http/http_call.h"
 #include "policy/uuid_v7.h"
@@ -34,9 +35,6 @@
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "snipefall-test-XXXXXX").string();
     m_directory = mkdtemp(pattern.data());
-    const std::string keyFile = m_directory / "peer.key";
-    std::ofstream(keyFile) << "k1:00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff\n";
-    chmod(keyFile.c_str(), S_IRUSR | S_IWUSR);
     m_platform = std::make_unique<stand_in_platform>("127.0.0.1", freePort());
     const std::string problem = m_platform->start();
     SNIPEFALL_INVARIANT(problem.empty(), problem.c_str());
@@ -96,16 +94,30 @@
     m_platform->store().setVms(std::move(vms));
 }
 
-void test_site::startNode(const std::string &name, const std::string &domain)
+std::string test_site::keyFileOf(const std::string &group) const
+{
+    const std::string keyFile = m_directory / (group + ".key");
+    // Written once, since nodes that just start may be reading it.
+    if (!std::filesystem::exists(keyFile)) {
+        std::ofstream(keyFile) << group << ":" << sha256Hex(group) << "\n";
+        chmod(keyFile.c_str(), S_IRUSR | S_IWUSR);
+    }
+    return keyFile;
+}
+
+void test_site::startNode(const std::string &name, const std::string &domain, const std::string &group)
 {
     std::string seeds;
     for (const auto &[other, running] : m_nodes) {
-        seeds += (seeds.empty() || other == name ? "" : ",") + (other == name ? "" : running.addresses.peers);
+        if (other != name && running.group == group) {
+            seeds += (seeds.empty() ? "" : ",") + running.addresses.peers;
+        }
     }
     running_node &started = m_nodes[name];
     started.process.reset();
     started.addresses = {freeAddress(), freeAddress(), freeAddress()};
     started.domain = domain;
+    started.group = group;
     std::vector<std::string> arguments{"--node-id",
                                        name,
                                        "--domain",
@@ -119,7 +131,7 @@
                                        "--platform-address",
                                        m_platform->address(),
                                        "--peer-key-file",
-                                       (m_directory / "peer.key").string(),
+                                       keyFileOf(group),
                                        "--drain-margin-ms",
                                        "200"};
     if (!seeds.empty()) {
--- a/tests/node/test_site.h
+++ b/tests/node/test_site.h
@@ -49,7 +49,8 @@
     /** Publishes the list of VMs with all servers and nodes. */
     void publishVms();
 
-    void startNode(const std::string &name, const std::string &domain);
+    /** Starts a node, or starts it anew. Nodes of different groups have different keys and don't know of each other, as in a region split. */
+    void startNode(const std::string &name, const std::string &domain, const std::string &group = "k1");
     /** Starts node-1 to node-N in domain-1 to domain-N and the service "svc", and waits until each node answers for it. */
     void startService(int nodes, const json &settings = json::object());
     child_process &process(const std::string &node) { return *m_nodes.at(node).process; }
@@ -76,10 +77,13 @@
     static std::string newRequestId();
 
 private:
+    std::string keyFileOf(const std::string &group) const;
+
     struct running_node
     {
         node_addresses addresses;
         std::string domain;
+        std::string group;
         std::unique_ptr<child_process> process;
     };
     struct running_server
