Bound the wait for a forwarded request by its deadline

Cause: a node without permits passed a request on to a holder with a fixed timeout of 61 s. When the holder was paused, the caller waited that long for a query with a deadline of 2 s.

Ruled out: membership. It finds the paused holder and later requests go elsewhere, but the request that is already under way hangs on its connection.

Change: the timeout is the smaller of the service's deadline and the request's deadline_ms, plus 1 s for the answer to arrive. The result is "unknown", as for each request that may have reached a holder.

The test lostHolderIsReplaced compared the load with the slots of stand-ins that never run more than their own slots; its stand-ins now have 16.

--- a/node/hop_forwarder.h
+++ b/node/hop_forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <set>
 
@@ -21,7 +22,10 @@
     /** Decides where a request goes; @p avoided are nodes that could not be connected to just now. */
     using route_function = std::function<hop_decision(const service_id &service, const request_id &request, bool forwarded, const std::set<node_id> &avoided)>;
 
-    explicit hop_forwarder(route_function route);
+    /** The longest time of a request of the service in milliseconds. */
+    using deadline_function = std::function<std::uint32_t(const service_id &service)>;
+
+    hop_forwarder(route_function route, deadline_function deadline);
 
     /** Whether this node has no permits of the service. A request that was passed on once is never passed on again, but refused. */
     bool shouldForward(const service_id &service, const http_request &request) const;
@@ -34,7 +38,10 @@
     http_response forward(const service_id &service, const http_request &request) const;
 
 private:
+    long timeoutOf(const service_id &service, const http_request &request) const;
+
     route_function m_route;
+    deadline_function m_deadline;
 };
 
 } // namespace snipefall
--- a/node/node_parts.cpp
+++ b/node/node_parts.cpp
@@ -68,13 +68,19 @@
           [this](const backend_server_id &id, const sub_response &response) { observeResponse(id, response); })
     , environment{dispatcher, engine, quarantine, crashes, moves}
     , entries(replica, [this](const service_id &service) { return entriesOf(service); })
-    , hops([this](const service_id &service, const request_id &request, bool forwarded, const std::set<node_id> &avoided) {
-        if (replica.current()->services.count(service) == 0) {
-            // The services answer for unknown names themselves.
-            return hop_decision{hop_kind::serve, std::nullopt};
-        }
-        return permits.route(service, request, forwarded, avoided);
-    })
+    , hops(
+          [this](const service_id &service, const request_id &request, bool forwarded, const std::set<node_id> &avoided) {
+              if (replica.current()->services.count(service) == 0) {
+                  // The services answer for unknown names themselves.
+                  return hop_decision{hop_kind::serve, std::nullopt};
+              }
+              return permits.route(service, request, forwarded, avoided);
+          },
+          [this](const service_id &service) {
+              const auto config = replica.current();
+              const auto found = config->services.find(service);
+              return found == config->services.end() ? service_settings().deadlineMs : found->second.deadlineMs;
+          })
     , queries(fmt::format("{}-{}", settings.id.str(), ownIncarnation.value()),
               replica,
               topologies,
--- a/tests/node/test_connections.cpp
+++ b/tests/node/test_connections.cpp
@@ -164,4 +164,30 @@
     }
 }
 
+// Guards against a caller who waits far beyond the deadline because the holder that its query was passed on to is paused.
+BOOST_AUTO_TEST_CASE(pausedHoldersKeepNoCallerWaiting)
+{
+    test_site site;
+    site.addServer("a", "domain-1");
+    site.startService(3);
+    BOOST_TEST(test_site::waitFor([&] { return site.permitsOf("node-1") + site.permitsOf("node-2") + site.permitsOf("node-3") == 2; }));
+    std::string entry;
+    for (const std::string &node : site.nodeNames()) {
+        if (site.permitsOf(node) > 0) {
+            site.process(node).signal(SIGSTOP);
+        } else {
+            entry = node;
+        }
+    }
+    BOOST_TEST_REQUIRE(!entry.empty());
+    // The client gives up after 15 s, the service's deadline is 2 s.
+    const test_site::answer answer = site.query(entry);
+    BOOST_TEST(answer.status == 503);
+    BOOST_TEST(answer.ran() == "unknown");
+    BOOST_TEST(test_site::waitFor([&] { return site.query(entry).status == 200; }));
+    for (const std::string &node : site.nodeNames()) {
+        site.process(node).signal(SIGCONT);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/node/test_whole_path.cpp
+++ b/tests/node/test_whole_path.cpp
@@ -137,8 +137,11 @@
 BOOST_DATA_TEST_CASE(lostHolderIsReplaced, boost::unit_test::data::make({SIGKILL, SIGSTOP}))
 {
     test_site site;
-    site.addServer("a", "domain-1");
-    site.addServer("b", "domain-2");
+    // The stand-ins bear more than the two slots that the configuration names, so that they measure the load rather than limit it.
+    stand_in_backend_options options = test_site::defaultOptions();
+    options.slots = 16;
+    site.addServer("a", "domain-1", options);
+    site.addServer("b", "domain-2", options);
     site.startService(3);
     std::string holder;
     BOOST_TEST(test_site::waitFor([&] {
