--- a/tests/node/test_site.cpp
+++ b/tests/node/test_site.cpp
@@ -96,7 +96,7 @@
 
 std::string test_site::keyFileOf(const std::string &group) const
 {
-    const std::string keyFile = m_directory / (group + ".key");
+    std::string keyFile = m_directory / (group + ".key");
     // Written once, since nodes that just start may be reading it.
     if (!std::filesystem::exists(keyFile)) {
         std::ofstream(keyFile) << group << ":" << sha256Hex(group) << "\n";
@@ -250,8 +250,8 @@
 
 std::string test_site::newRequestId()
 {
-    thread_local std::mt19937_64 s_random{std::random_device()()};
-    return uuid_v7::generate(wallClockMs(), s_random(), s_random()).text();
+    thread_local std::mt19937_64 random{std::random_device()()};
+    return uuid_v7::generate(wallClockMs(), random(), random()).text();
 }
 
 } // namespace snipefall
