Add commands that start, follow and roll back moves

Moves could only be driven by hand-written HTTP requests. The commands move start, move status and move rollback use the node's move routes.

A refusal with the code unknown_result now gives exit code 5 for every command.

--- a/cli/command_results.cpp
+++ b/cli/command_results.cpp
@@ -27,6 +27,9 @@
         message = jsonValue<std::string>(response.body, "message", "");
     }
     output_writer::problem(fmt::format("status {}: {}", response.status, message));
+    if (jsonValue<std::string>(error, "code", "") == "unknown_result") {
+        return exit_code::unknown;
+    }
     if (response.body.is_object()) {
         for (const json &field : response.body.value("invalid_fields", json::array())) {
             output_writer::problem(fmt::format("  {}: {} is not allowed; allowed: {}",
--- a/cli/commands.h
+++ b/cli/commands.h
@@ -11,6 +11,7 @@
 
 std::vector<command> statusCommands();
 std::vector<command> configCommands();
+std::vector<command> moveCommands();
 std::vector<command> callerCommands();
 
 } // namespace snipefall
