--- a/cli/config_commands.cpp
+++ b/cli/config_commands.cpp
@@ -180,7 +180,9 @@
 {
     return showResponse(context.node.get("/v1/config"), context.asJson, [](const json &body) {
         std::vector<std::vector<std::string>> rows{{"SERVICE", "VERSION", "POLICY", "DEADLINE_MS", "OPEN"}};
-        for (const auto &[name, settings] : body.value("document", json::object()).value("services", json::object()).items()) {
+        // items() refers to its object, so the object must outlive the loop.
+        const json services = body.value("document", json::object()).value("services", json::object());
+        for (const auto &[name, settings] : services.items()) {
             rows.push_back({name,
                             jsonValue<std::string>(settings, "version", ""),
                             jsonValue<std::string>(settings, "answer_policy", "wait_for_coverage"),
