--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -47,13 +47,33 @@
     return program.name, output, passed, failed
 
 
+def run_pages(build_dir):
+    """The commands of the operators' pages; each page is one test."""
+    script = pathlib.Path(__file__).with_name("check_operator_pages.py")
+    process = subprocess.Popen([sys.executable, str(script), build_dir], stdin=subprocess.DEVNULL, stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True)
+    try:
+        output, _ = process.communicate(timeout=TIMEOUT_S)
+        code = process.returncode
+    except subprocess.TimeoutExpired:
+        # SIGTERM lets the script end the processes of its site.
+        process.terminate()
+        output, code = process.communicate()[0] + f"\ntimeout after {TIMEOUT_S} s", -1
+    results = {"passed": [], "failed": []}
+    for page, result in re.findall(r"^page (\S+): (passed|failed)$", output, re.M):
+        results[result].append(f"check_operator_pages/{page}")
+    if code != 0 and not results["failed"]:
+        results["failed"].append(f"check_operator_pages/exit code {code}")
+    return "check_operator_pages", output, results["passed"], results["failed"]
+
+
 def main():
     programs = sorted(pathlib.Path(sys.argv[1], "bin").glob("test_*"))
     red = known_red()
     passed, failed, excused = 0, [], []
     # Tests with real processes compete for the processors, so only a few programs run at the same time.
     with concurrent.futures.ThreadPoolExecutor(max_workers=3) as pool:
-        for name, output, ok, bad in pool.map(run, programs):
+        jobs = [pool.submit(run, program) for program in programs] + [pool.submit(run_pages, sys.argv[1])]
+        for name, output, ok, bad in (job.result() for job in jobs):
             unexpected = [case for case in bad if case not in red]
             excused += [case for case in bad if case in red]
             failed += unexpected
