--- a/tests/core/test_settings_table.cpp
+++ b/tests/core/test_settings_table.cpp
@@ -9,17 +9,13 @@
 
 namespace {
 
-const settings_table &table()
-{
-    static const settings_table s_table("tested",
-                                        {{"name", setting_kind::text, "", true, 0, 0, "A name."},
-                                         {"address", setting_kind::address, "127.0.0.1:1", false, 0, 0, "An address."},
-                                         {"peers", setting_kind::address_list, "", false, 0, 0, "Addresses."},
-                                         {"wait-ms", setting_kind::integer, "5", false, 1, 10, "A time."},
-                                         {"quick", setting_kind::flag, "false", false, 0, 0, "A flag."},
-                                         {"key-file", setting_kind::file, "", false, 0, 0, "A file."}});
-    return s_table;
-}
+const settings_table TABLE("tested",
+                           {{"name", setting_kind::text, "", true, 0, 0, "A name."},
+                            {"address", setting_kind::address, "127.0.0.1:1", false, 0, 0, "An address."},
+                            {"peers", setting_kind::address_list, "", false, 0, 0, "Addresses."},
+                            {"wait-ms", setting_kind::integer, "5", false, 1, 10, "A time."},
+                            {"quick", setting_kind::flag, "false", false, 0, 0, "A flag."},
+                            {"key-file", setting_kind::file, "", false, 0, 0, "A file."}});
 
 struct settings_case
 {
@@ -75,6 +71,7 @@
 std::vector<char *> pointersTo(std::vector<std::string> &texts)
 {
     std::vector<char *> pointers;
+    pointers.reserve(texts.size() + 1);
     for (std::string &text : texts) {
         pointers.push_back(text.data());
     }
@@ -94,7 +91,7 @@
     std::vector<std::string> variables = sample.environment;
     std::vector<char *> argv = pointersTo(arguments);
     std::vector<char *> environment = pointersTo(variables);
-    const outcome<setting_values> values = table().parse(static_cast<int>(arguments.size()), argv.data(), environment.data());
+    const outcome<setting_values> values = TABLE.parse(static_cast<int>(arguments.size()), argv.data(), environment.data());
     BOOST_TEST((values ? "" : values.reason().message) == sample.problems);
     for (const auto &[name, value] : sample.expected) {
         BOOST_REQUIRE(values);
@@ -106,12 +103,12 @@
 BOOST_AUTO_TEST_CASE(describesEverySetting)
 {
     for (const std::string name : {"name", "address", "peers", "wait-ms", "quick", "key-file", "help"}) {
-        BOOST_TEST(table().help().find("--" + name) != std::string::npos);
+        BOOST_TEST(TABLE.help().find("--" + name) != std::string::npos);
         const std::string cells = "| `--" + name + "` | `" + settings_table::environmentName(name) + "` |";
-        BOOST_TEST(table().referencePage().find(cells) != std::string::npos);
+        BOOST_TEST(TABLE.referencePage().find(cells) != std::string::npos);
     }
-    BOOST_TEST(table().help().find("A name. Required.") != std::string::npos);
-    BOOST_TEST(table().help().find("A time. Default 5.") != std::string::npos);
+    BOOST_TEST(TABLE.help().find("A name. Required.") != std::string::npos);
+    BOOST_TEST(TABLE.help().find("A time. Default 5.") != std::string::npos);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
