Close services with a signed report and keep a hash-chained audit trail

An operator who closes a service needs an account of what callers were answered, from which data and with what coverage, that others can check.

The closing is one object per service with conditional updates, driven by whichever node is asked, so that repeats, races and lost nodes are settled by the platform. Nodes are asked directly whether they refuse, run nothing and have saved, because polling an object from every node would cost more reads than the platform has at 470 nodes. Private keys stay with the operator: nodes collect the report once, and publish only a signature over exactly that text. A closure mark carries its configuration version, since a mark from before a reopening would hide a gap. Only the canonical text verifies, so that no byte can change unseen.

Audit entries are queued in memory and appended by one thread. The fuzz test found a duplicated entry when a lost write took effect between the check and the write; the check now uses the version that the write replaces.

Refusals that a node answers itself when a hop fails are now accounted.

Measured: test_policy closing_record_tests and service_report_tests 17 cases, test_platform audit_log_tests 2 cases, all pass. Not run: tests/cli, the whole suite, and the linter.

--- a/cli/command.h
+++ b/cli/command.h
@@ -21,6 +21,7 @@
     std::string example;
     std::vector<setting_definition> settings; ///< Besides the common ones.
     std::function<exit_code(const command_context &)> run;
+    std::vector<std::string> outputs = {"table", "json"}; ///< Allowed forms of the output; "table" stands for the first one.
 };
 
 } // namespace snipefall
--- a/cli/command_table.cpp
+++ b/cli/command_table.cpp
@@ -22,7 +22,7 @@
         {"node", setting_kind::address, "", false, 0, 0, "Operator address of a node."},
         {"caller-address", setting_kind::address, "", false, 0, 0, "Caller address of a node, for entries and query."},
         {"operator-token-file", setting_kind::file, "", false, 0, 0, "File with the operator's token."},
-        {"output", setting_kind::text, "table", false, 0, 0, "Form of the output: table or json."},
+        {"output", setting_kind::text, "table", false, 0, 0, "Form of the output: table or json; for report also text or html."},
         {"timeout-ms", setting_kind::integer, "10000", false, 1, 600000, "Time to wait for a response."},
     };
     return s_settings;
@@ -135,8 +135,8 @@
         return exit_code::success;
     }
     const std::string &output = values->text("output");
-    if (output != "table" && output != "json") {
-        output_writer::problem("--output must be table or json");
+    if (output != "table" && std::find(entry.outputs.begin(), entry.outputs.end(), output) == entry.outputs.end()) {
+        output_writer::problem(fmt::format("--output must be one of {}", fmt::join(entry.outputs, ", ")));
         return exit_code::usage;
     }
     if (values->arguments.size() != entry.argumentCount) {
--- a/cli/commands.cpp
+++ b/cli/commands.cpp
@@ -5,7 +5,7 @@
 std::vector<command> allCommands()
 {
     std::vector<command> commands;
-    for (const auto &group : {statusCommands(), configCommands(), callerCommands()}) {
+    for (const auto &group : {statusCommands(), configCommands(), callerCommands(), reportCommands()}) {
         commands.insert(commands.end(), group.begin(), group.end());
     }
     return commands;
--- a/cli/commands.h
+++ b/cli/commands.h
@@ -12,5 +12,6 @@
 std::vector<command> statusCommands();
 std::vector<command> configCommands();
 std::vector<command> callerCommands();
+std::vector<command> reportCommands();
 
 } // namespace snipefall
--- a/node/account_keeper.cpp
+++ b/node/account_keeper.cpp
@@ -22,9 +22,19 @@
     }
 }
 
-account_keeper::part &account_keeper::partOf(const service_id &service)
+std::size_t account_keeper::indexOf(const service_id &service)
 {
-    return m_parts[stableHash(service.str()) % PARTS];
+    return stableHash(service.str()) % PARTS;
+}
+
+std::string account_keeper::keySuffixOf(const service_id &service)
+{
+    return "/" + std::to_string(indexOf(service));
+}
+
+std::string account_keeper::saveService(const service_id &service)
+{
+    return savePart(indexOf(service));
 }
 
 std::string account_keeper::keyOf(std::size_t index) const
@@ -41,12 +51,14 @@
     home.changed = true;
 }
 
-void account_keeper::closeService(const service_id &service)
+void account_keeper::closeService(const service_id &service, config_version version)
 {
     part &home = partOf(service);
     const std::lock_guard lock(home.mutex);
-    home.account.closeService(service);
-    home.changed = true;
+    if (!home.account.serviceClosed(service, version)) {
+        home.account.closeService(service, version);
+        home.changed = true;
+    }
 }
 
 std::string account_keeper::save()
--- a/node/account_keeper.h
+++ b/node/account_keeper.h
@@ -30,11 +30,15 @@
     account_keeper(node_id node, incarnation nodeIncarnation, calls run);
 
     void add(const answer_record &record);
-    /** Marks that this node gives the service no more answers. */
-    void closeService(const service_id &service);
+    /** Marks that this node gives the service no more answers but refusals, by configuration @p version. */
+    void closeService(const service_id &service, config_version version);
 
     /** Saves the parts that changed. Returns the last failure, or an empty string. */
     std::string save();
+    /** Saves the part that holds @p service, if it changed. Returns the failure, or an empty string. */
+    std::string saveService(const service_id &service);
+    /** The end of the keys accounts/<node>/<part> that hold @p service. */
+    static std::string keySuffixOf(const service_id &service);
     /** Marks all parts as final and saves them. */
     std::string close();
 
@@ -53,7 +57,8 @@
 
     std::string savePart(std::size_t index);
     std::string keyOf(std::size_t index) const;
-    part &partOf(const service_id &service);
+    static std::size_t indexOf(const service_id &service);
+    part &partOf(const service_id &service) { return m_parts[indexOf(service)]; }
 
     const node_id m_node;
     const calls m_run;
--- a/node/caller_api.cpp
+++ b/node/caller_api.cpp
@@ -31,6 +31,34 @@
     std::atomic<int> &m_count;
 };
 
+// Counts a running request of one service for the closing.
+class service_guard
+{
+public:
+    service_guard(std::mutex &mutex, std::map<service_id, std::uint64_t> &counts, const service_id &service)
+        : m_mutex(mutex)
+        , m_counts(counts)
+        , m_service(service)
+    {
+        const std::lock_guard lock(m_mutex);
+        ++m_counts[m_service];
+    }
+    ~service_guard()
+    {
+        const std::lock_guard lock(m_mutex);
+        if (const auto found = m_counts.find(m_service); --found->second == 0) {
+            m_counts.erase(found);
+        }
+    }
+    service_guard(const service_guard &) = delete;
+    service_guard &operator=(const service_guard &) = delete;
+
+private:
+    std::mutex &m_mutex;
+    std::map<service_id, std::uint64_t> &m_counts;
+    const service_id m_service;
+};
+
 http_response methodNotAllowed(const std::string &allowed)
 {
     http_response response = errorResponse(405, error_code::invalid_argument, "the method must be " + allowed, run_state::not_run);
@@ -56,6 +84,24 @@
     return response;
 }
 
+std::uint64_t caller_api::running(const service_id &service) const
+{
+    const std::lock_guard lock(m_mutex);
+    const auto found = m_runningOf.find(service);
+    return found == m_runningOf.end() ? 0 : found->second;
+}
+
+http_response caller_api::routeService(const service_id &service, std::string_view action, const http_request &request)
+{
+    if (request.method != "POST") {
+        return methodNotAllowed("POST");
+    }
+    if (m_hops.shouldForward(service, request)) {
+        return m_hops.forward(service, request);
+    }
+    return action == "query" ? m_queries.handle(service, request) : m_executions.handle(service, request);
+}
+
 http_response caller_api::route(const http_request &request)
 {
     if (request.path == "/v1/entries") {
@@ -67,15 +113,9 @@
         const std::size_t slash = rest.find('/');
         const service_id service{std::string(rest.substr(0, slash))};
         const std::string_view action = slash == std::string_view::npos ? std::string_view() : rest.substr(slash + 1);
-        const bool known = action == "query" || action == "execute";
-        if (known && request.method == "POST" && m_hops.shouldForward(service, request)) {
-            return m_hops.forward(service, request);
-        }
-        if (action == "query") {
-            return request.method == "POST" ? m_queries.handle(service, request) : methodNotAllowed("POST");
-        }
-        if (action == "execute") {
-            return request.method == "POST" ? m_executions.handle(service, request) : methodNotAllowed("POST");
+        if (action == "query" || action == "execute") {
+            const service_guard guard(m_mutex, m_runningOf, service);
+            return routeService(service, action, request);
         }
     }
     return errorResponse(404, error_code::not_found, "no route " + request.path, run_state::not_run);
--- a/node/caller_api.h
+++ b/node/caller_api.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include <atomic>
+#include <map>
+#include <mutex>
 #include <string>
 
+#include "core/ids.h"
 #include "core/json.h"
 #include "http/http_request.h"
 #include "http/http_response.h"
@@ -26,9 +29,12 @@
     void startDraining() { m_draining = true; }
     /** Requests that are being answered. */
     int running() const { return m_running; }
+    /** Requests of one service that are being answered or forwarded; each counts before it reads the configuration. */
+    std::uint64_t running(const service_id &service) const;
 
 private:
     http_response route(const http_request &request);
+    http_response routeService(const service_id &service, std::string_view action, const http_request &request);
 
     const entry_service &m_entries;
     const hop_forwarder &m_hops;
@@ -36,6 +42,8 @@
     execute_service &m_executions;
     std::atomic<bool> m_draining{false};
     std::atomic<int> m_running{0};
+    mutable std::mutex m_mutex;
+    std::map<service_id, std::uint64_t> m_runningOf; ///< Only services with running requests, so that made-up names leave nothing behind.
 };
 
 } // namespace snipefall
--- /dev/null
+++ b/node/closing_routes.h
@@ -0,0 +1,11 @@
+#pragma once
+
+namespace snipefall {
+
+class closing_controller;
+class operator_api;
+
+/** Adds POST and GET /v1/services/S/close and /v1/services/S/report. */
+void addClosingRoutes(operator_api &operators, closing_controller &closings);
+
+} // namespace snipefall
--- a/node/hop_forwarder.cpp
+++ b/node/hop_forwarder.cpp
@@ -1,5 +1,6 @@
 #include "node/hop_forwarder.h"
 
+#include "core/clock.h"
 #include "http/http_call.h"
 #include "node/api_responses.h"
 
@@ -14,8 +15,9 @@
 
 } // namespace
 
-hop_forwarder::hop_forwarder(route_function route)
+hop_forwarder::hop_forwarder(route_function route, account_function account)
     : m_route(std::move(route))
+    , m_account(std::move(account))
 {
 }
 
@@ -26,6 +28,10 @@
 
 http_response hop_forwarder::forward(const service_id &service, const http_request &request) const
 {
+    const time_point received = system_clock().now();
+    answer_record record;
+    record.service = service;
+    record.request = request_id(request.header("Request-Id"));
     http_call call;
     call.method = request.method;
     call.target = request.path;
@@ -51,11 +57,23 @@
             return result.response;
         }
         if (result.mayHaveReachedServer) {
-            return errorResponse(503, error_code::unknown_result, "the node that holds the permits gave no answer: " + result.message, run_state::unknown);
+            record.latency = system_clock().now() - received;
+            const bool query = request.path.ends_with("/query");
+            return refuse(
+                record, query ? answer_outcome::failed : answer_outcome::unknown, "the node that holds the permits gave no answer: " + result.message);
         }
         avoided.insert(decision.target->id);
     }
-    return errorResponse(503, error_code::unavailable, "no node holds permits of service " + service.str(), run_state::not_run);
+    record.latency = system_clock().now() - received;
+    return refuse(record, answer_outcome::not_run, "no node holds permits of service " + service.str());
+}
+
+http_response hop_forwarder::refuse(answer_record record, answer_outcome outcomeKind, const std::string &message) const
+{
+    record.outcome = outcomeKind;
+    m_account(record);
+    const bool notRun = outcomeKind == answer_outcome::not_run;
+    return errorResponse(503, notRun ? error_code::unavailable : error_code::unknown_result, message, notRun ? run_state::not_run : run_state::unknown);
 }
 
 } // namespace snipefall
--- a/node/hop_forwarder.h
+++ b/node/hop_forwarder.h
@@ -6,6 +6,7 @@
 #include "core/ids.h"
 #include "http/http_request.h"
 #include "http/http_response.h"
+#include "policy/answer_record.h"
 #include "policy/hop_router.h"
 
 namespace snipefall {
@@ -21,7 +22,10 @@
     /** Decides where a request goes; @p avoided are nodes that could not be connected to just now. */
     using route_function = std::function<hop_decision(const service_id &service, const request_id &request, bool forwarded, const std::set<node_id> &avoided)>;
 
-    explicit hop_forwarder(route_function route);
+    /** Told of the refusals that this node itself answers, which no other node accounts. */
+    using account_function = std::function<void(const answer_record &)>;
+
+    hop_forwarder(route_function route, account_function account);
 
     /** Whether this node has no permits of the service. A request that was passed on once is never passed on again, but refused. */
     bool shouldForward(const service_id &service, const http_request &request) const;
@@ -34,7 +38,10 @@
     http_response forward(const service_id &service, const http_request &request) const;
 
 private:
+    http_response refuse(answer_record record, answer_outcome outcomeKind, const std::string &message) const;
+
     route_function m_route;
+    account_function m_account;
 };
 
 } // namespace snipefall
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -17,6 +17,7 @@
 constexpr std::chrono::milliseconds MOVE_INTERVAL{500};
 constexpr std::chrono::milliseconds FAULT_INTERVAL{100};
 constexpr std::chrono::milliseconds DRAIN_CHECK_INTERVAL{5};
+constexpr std::chrono::milliseconds AUDIT_INTERVAL{1000};
 constexpr duration DRAINING_LIFETIME = std::chrono::minutes(10);
 // Waits for a configuration pull between two platform reads.
 constexpr std::chrono::milliseconds CONFIGURATION_STEP_INTERVAL{100};
@@ -92,6 +93,7 @@
     self.addThread(MOVE_INTERVAL, &node_parts::stepMoves);
     self.addThread(FAULT_INTERVAL, &node_parts::stepFaults);
     self.addThread(m_settings.accountInterval, &node_parts::stepAccounts);
+    self.addThread(AUDIT_INTERVAL, &node_parts::stepAudit);
     logInfo("node.started",
             {{"node", m_settings.id.str()},
              {"incarnation", std::to_string(parts.ownIncarnation.value())},
@@ -120,6 +122,8 @@
     if (!problem.empty()) {
         logError("account.close_failed", {{"reason", problem}});
     }
+    parts.audit.record("node " + m_settings.id.str(), "node.stop", "planned stop");
+    parts.stepAudit();
     parts.peers.stop();
     self.operatorServer->stop();
 }
--- a/node/node_parts.cpp
+++ b/node/node_parts.cpp
@@ -7,6 +7,8 @@
 
 #include "core/logger.h"
 #include "node/api_responses.h"
+#include "node/audit_routes.h"
+#include "node/closing_routes.h"
 #include "policy/placement.h"
 
 namespace snipefall {
@@ -32,6 +34,8 @@
     , store(httpStore, call_budget_options(), randomSeed())
     , log(store)
     , claims(store, claim_log_options{{settings.id, ownIncarnation}, randomSeed(), [] { return wallClockMs(); }})
+    , audits(store)
+    , audit(settings.id, ownIncarnation, [this](const std::vector<json> &entries) { return audits.append(entries); })
     , accounts(settings.id,
                ownIncarnation,
                {[this](const std::string &key) { return store.read(call_purpose::account, key); },
@@ -68,13 +72,15 @@
           [this](const backend_server_id &id, const sub_response &response) { observeResponse(id, response); })
     , environment{dispatcher, engine, quarantine, crashes, moves}
     , entries(replica, [this](const service_id &service) { return entriesOf(service); })
-    , hops([this](const service_id &service, const request_id &request, bool forwarded, const std::set<node_id> &avoided) {
-        if (replica.current()->services.count(service) == 0) {
-            // The services answer for unknown names themselves.
-            return hop_decision{hop_kind::serve, std::nullopt};
-        }
-        return permits.route(service, request, forwarded, avoided);
-    })
+    , hops(
+          [this](const service_id &service, const request_id &request, bool forwarded, const std::set<node_id> &avoided) {
+              if (replica.current()->services.count(service) == 0) {
+                  // The services answer for unknown names themselves.
+                  return hop_decision{hop_kind::serve, std::nullopt};
+              }
+              return permits.route(service, request, forwarded, avoided);
+          },
+          [this](const answer_record &record) { accounts.add(record); })
     , queries(fmt::format("{}-{}", settings.id.str(), ownIncarnation.value()),
               replica,
               topologies,
@@ -93,6 +99,23 @@
                       }
                   }})
     , callers(entries, hops, queries, executions)
+    , closings(
+          settings.id,
+          replica,
+          peers,
+          accounts,
+          {[this](const std::string &key) { return store.read(call_purpose::audit, key); },
+           [this](const std::string &key, const std::string &value, object_version expected) { return store.write(call_purpose::audit, key, value, expected); },
+           [this](const std::string &prefix) { return store.list(call_purpose::audit, prefix); },
+           [this](const configuration_patch &patch) { return commit(patch); },
+           [this](const service_id &service) { return callers.running(service); },
+           [this] {
+               return auditState(
+                   audit, [this] { return audits.tail(); }, [this] { return audits.verify(); });
+           },
+           [this](const closing_record &record, const std::string &reason) {
+               audit.record(record.author, "closing." + std::string(toString(record.state)) + " " + record.service.str(), reason, record.configuration.value());
+           }})
     , operators(replica,
                 tokens,
                 {[this](const configuration_patch &patch) { return commit(patch); },
@@ -121,6 +144,9 @@
         }
     });
     addMoveRoutes();
+    addClosingRoutes(operators, closings);
+    addAuditRoute(operators, [this](std::uint64_t after) { return audits.readAfter(after); });
+    recordEvents();
 }
 
 bool node_parts::ready() const
@@ -177,6 +203,9 @@
         configurations.step();
         peers.announceConfiguration(replica.position().version, true);
     }
+    const bool applied = result.status == commit_result::kind::applied;
+    audit.record(
+        patch.author, applied ? "patch.applied" : "patch.refused", patch.id.str() + ": " + patch.reason + "; " + result.message, patch.baseVersion.value());
     logInfo("configuration.patch", {{"patch", patch.id.str()}, {"author", patch.author}, {"result", result.message}});
     return result;
 }
@@ -223,6 +252,28 @@
     }
 }
 
+void node_parts::stepAudit()
+{
+    const std::string problem = audit.flush();
+    if (!problem.empty()) {
+        logWarning("audit.save_failed", {{"reason", problem}});
+    }
+}
+
+void node_parts::recordEvents()
+{
+    const std::string self = "node " + settings.id.str();
+    audit.record(self, "node.start", "incarnation " + std::to_string(ownIncarnation.value()));
+    moves.onStep([this](const move_record &record) {
+        audit.record(
+            record.author,
+            fmt::format("move.{} {} {} to {} at {}%", toString(record.state), record.service.str(), record.from.str(), record.to.str(), record.sharePercent),
+            record.reason,
+            replica.position().version.value());
+    });
+    quarantine.onSuspicion([this, self](const std::string &reason) { audit.record(self, "request.suspected", reason); });
+}
+
 void node_parts::observeResponse(const backend_server_id &id, const sub_response &response)
 {
     if (response.status == transport_status::connect_failed) {
@@ -335,6 +386,10 @@
         } else if (rest.substr(slash) == "/rollback") {
             record = moves.rollBack(service, author, reason);
         }
+        audit.record(author,
+                     (slash == std::string::npos ? "move.start " : "move.rollback ") + service.str(),
+                     record ? reason : "refused: " + record.reason().message,
+                     replica.position().version.value());
         return record ? jsonResponse(toJson(*record))
                       : errorResponse(httpStatusOf(record.reason().code), record.reason().code, record.reason().message, run_state::not_run);
     });
--- a/node/node_parts.h
+++ b/node/node_parts.h
@@ -9,7 +9,9 @@
 #include "http/fan_out_engine.h"
 #include "http/http_server.h"
 #include "node/account_keeper.h"
+#include "node/audit_recorder.h"
 #include "node/caller_api.h"
+#include "node/closing_controller.h"
 #include "node/configuration_controller.h"
 #include "node/controller_thread.h"
 #include "node/crash_detector.h"
@@ -28,6 +30,7 @@
 #include "node/sub_request_dispatcher.h"
 #include "node/token_table.h"
 #include "node/topology_controller.h"
+#include "platform/audit_log.h"
 #include "platform/budgeted_object_store.h"
 #include "platform/claim_log.h"
 #include "platform/configuration_log.h"
@@ -53,6 +56,7 @@
     void stepMoves();
     void stepFaults();
     void stepAccounts();
+    void stepAudit();
 
     using store_type = budgeted_object_store<http_object_store>;
 
@@ -63,6 +67,8 @@
     store_type store;
     configuration_log<store_type> log;
     claim_log<store_type> claims;
+    audit_log<store_type> audits;
+    audit_recorder audit;
     configuration_replica replica;
     topology_board topologies;
     node_metrics metrics;
@@ -83,6 +89,7 @@
     query_service queries;
     execute_service executions;
     caller_api callers;
+    closing_controller closings;
     token_table tokens;
     operator_api operators;
 
@@ -95,6 +102,7 @@
     std::vector<std::string> entriesOf(const service_id &service);
     bool usesService(const service_id &service);
     void addMoveRoutes();
+    void recordEvents();
 
     std::atomic<std::int64_t> m_lastConfigurationRead{0};
 };
--- a/node/peer_messages.h
+++ b/node/peer_messages.h
@@ -10,6 +10,7 @@
     configuration_pull = static_cast<std::int16_t>(message_kind::first_exchange),
     permit_promises = 101,
     move_observations = 102,
+    closing_check = 103,
 };
 
 constexpr message_kind toMessageKind(peer_exchange_kind kind)
--- a/node/quarantine_controller.cpp
+++ b/node/quarantine_controller.cpp
@@ -49,6 +49,10 @@
     }
     for (const request_fingerprint request : suspects) {
         logWarning("request.suspected", {{"fingerprint", fmt::format("{:016x}", request.value())}, {"server", server.str()}});
+        if (m_onSuspicion) {
+            const char *state = standing(request) == request_standing::quarantined ? "quarantined" : "suspected";
+            m_onSuspicion(fmt::format("request {:016x} is {} after the crash of server {}", request.value(), state, server.str()));
+        }
         m_peers.publish(fact_kind::suspected_request,
                         fmt::format("suspected/{:016x}/{}/{}", request.value(), server.str(), startedMs),
                         json{{"fingerprint", request.value()}, {"server", server.str()}, {"started_ms", startedMs}}.dump(),
--- a/node/quarantine_controller.h
+++ b/node/quarantine_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <mutex>
 #include <string>
 
@@ -17,6 +18,9 @@
 public:
     explicit quarantine_controller(peer_controller &peers);
 
+    /** Called with one sentence when this node suspects or quarantines a request after a crash it saw. */
+    void onSuspicion(std::function<void(const std::string &)> callback) { m_onSuspicion = std::move(callback); }
+
     request_standing standing(request_fingerprint request) const;
     void started(request_fingerprint request, const backend_server_id &server);
     void ended(request_fingerprint request, const backend_server_id &server, bool succeeded);
@@ -31,6 +35,7 @@
     mutable std::mutex m_mutex;
     request_quarantine m_quarantine;
     peer_controller &m_peers;
+    std::function<void(const std::string &)> m_onSuspicion;
 };
 
 } // namespace snipefall
--- a/policy/node_account.cpp
+++ b/policy/node_account.cpp
@@ -41,6 +41,9 @@
 
 void node_account::add(const answer_record &record)
 {
+    if (record.outcome != answer_outcome::not_run) {
+        m_closedServices.erase(record.service);
+    }
     m_totals[account_key{record.service, record.version, record.snapshot, record.outcome}].add(record);
     if (record.outcome != answer_outcome::unknown) {
         return;
@@ -52,6 +55,12 @@
     }
 }
 
+bool node_account::serviceClosed(const service_id &service, config_version atLeast) const
+{
+    const auto found = m_closedServices.find(service);
+    return m_closed || (found != m_closedServices.end() && found->second >= atLeast);
+}
+
 void node_account::seal(std::uint64_t savedToMs)
 {
     m_savedToMs = savedToMs;
@@ -63,7 +72,7 @@
     node_account part = *this;
     std::erase_if(part.m_totals, [&service](const auto &entry) { return entry.first.service != service; });
     std::erase_if(part.m_unknownRequests, [&service](const auto &entry) { return entry.first != service; });
-    std::erase_if(part.m_closedServices, [&service](const service_id &closed) { return closed != service; });
+    std::erase_if(part.m_closedServices, [&service](const auto &closed) { return closed.first != service; });
     return part;
 }
 
@@ -78,8 +87,8 @@
         unknown.push_back({{"service", service.str()}, {"request_id", request.str()}});
     }
     json closedServices = json::array();
-    for (const service_id &service : m_closedServices) {
-        closedServices.push_back(service.str());
+    for (const auto &[service, version] : m_closedServices) {
+        closedServices.push_back({{"service", service.str()}, {"configuration_version", version.value()}});
     }
     return {{"node", m_node.str()},
             {"incarnation", m_incarnation.value()},
@@ -105,8 +114,9 @@
     account.m_sequence = jsonValue<std::uint64_t>(document, "sequence", 0);
     account.m_closed = jsonValue<bool>(document, "closed", false);
     account.m_unlistedUnknownRequests = jsonValue<std::uint64_t>(document, "unlisted_unknown_requests", 0);
-    for (const json &service : document.value("closed_services", json::array())) {
-        account.m_closedServices.insert(service_id(service.is_string() ? service.get<std::string>() : std::string()));
+    for (const json &closed : document.value("closed_services", json::array())) {
+        account.closeService(service_id(jsonValue<std::string>(closed, "service", "")),
+                             config_version(jsonValue<std::uint64_t>(closed, "configuration_version", 0)));
     }
     for (const json &entry : document.value("unknown_requests", json::array())) {
         account.m_unknownRequests.emplace_back(service_id(jsonValue<std::string>(entry, "service", "")),
--- a/policy/node_account.h
+++ b/policy/node_account.h
@@ -2,7 +2,6 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -30,8 +29,8 @@
     void seal(std::uint64_t savedToMs);
     /** Marks the account as final: the node stopped and answered nothing after it. */
     void close() { m_closed = true; }
-    /** Marks that this node gives the service no more answers. */
-    void closeService(const service_id &service) { m_closedServices.insert(service); }
+    /** Marks that this node gives the service no more answers but refusals, by configuration @p version; any other answer takes it back. */
+    void closeService(const service_id &service, config_version version) { m_closedServices.insert_or_assign(service, version); }
 
     const node_id &node() const { return m_node; }
     incarnation nodeIncarnation() const { return m_incarnation; }
@@ -39,7 +38,8 @@
     std::uint64_t savedToMs() const { return m_savedToMs; }
     std::uint64_t sequence() const { return m_sequence; }
     bool closed() const { return m_closed; }
-    bool serviceClosed(const service_id &service) const { return m_closed || m_closedServices.count(service) > 0; }
+    /** Whether the account is final for @p service, closed by a configuration that is not older than @p atLeast. */
+    bool serviceClosed(const service_id &service, config_version atLeast = config_version()) const;
     const std::map<account_key, answer_totals> &totals() const { return m_totals; }
     const std::vector<std::pair<service_id, request_id>> &unknownRequests() const { return m_unknownRequests; }
     std::uint64_t unlistedUnknownRequests() const { return m_unlistedUnknownRequests; }
@@ -59,7 +59,7 @@
     std::uint64_t m_savedToMs = 0;
     std::uint64_t m_sequence = 0;
     bool m_closed = false;
-    std::set<service_id> m_closedServices;
+    std::map<service_id, config_version> m_closedServices;
     std::map<account_key, answer_totals> m_totals;
     std::vector<std::pair<service_id, request_id>> m_unknownRequests;
     std::uint64_t m_unlistedUnknownRequests = 0;
