--- a/cli/commands.h
+++ b/cli/commands.h
@@ -13,5 +13,6 @@
 std::vector<command> configCommands();
 std::vector<command> moveCommands();
 std::vector<command> callerCommands();
+std::vector<command> reportCommands();
 
 } // namespace snipefall
--- a/node/hop_forwarder.h
+++ b/node/hop_forwarder.h
@@ -7,6 +7,7 @@
 #include "core/ids.h"
 #include "http/http_request.h"
 #include "http/http_response.h"
+#include "policy/answer_record.h"
 #include "policy/hop_router.h"
 
 namespace snipefall {
@@ -25,7 +26,10 @@
     /** The longest time of a request of the service in milliseconds. */
     using deadline_function = std::function<std::uint32_t(const service_id &service)>;
 
-    hop_forwarder(route_function route, deadline_function deadline);
+    /** Told of the refusals that this node itself answers, which no other node accounts. */
+    using account_function = std::function<void(const answer_record &)>;
+
+    hop_forwarder(route_function route, deadline_function deadline, account_function account);
 
     /** Whether this node has no permits of the service. A request that was passed on once is never passed on again, but refused. */
     bool shouldForward(const service_id &service, const http_request &request) const;
@@ -40,8 +44,11 @@
 private:
     long timeoutOf(const service_id &service, const http_request &request) const;
 
-    route_function m_route;
     deadline_function m_deadline;
+    http_response refuse(answer_record record, answer_outcome outcomeKind, const std::string &message) const;
+
+    route_function m_route;
+    account_function m_account;
 };
 
 } // namespace snipefall
