Try another holder when one has no permits; fix the faults that tests listed

Cause: while permits change hands after a node joined, a request that was passed on met a node without permits and was refused; orderRunsOnceThroughAllNodes saw 503 in 3 of 6 runs. Ruled out: the claim log, which answers a repeat from a fresh read. A rolled back move keeps no share, so its record is readable. A peer port in use is named. A lost answer to a move is told as unknown. Numbers beyond 32 bits are refused instead of cut. Linter findings fixed.

--- a/core/json.h
+++ b/core/json.h
@@ -1,5 +1,11 @@
 #pragma once
 
+#include <cstdint>
+#include <limits>
+#include <string>
+#include <string_view>
+#include <type_traits>
+
 #include <nlohmann/json.hpp>
 
 #include "core/outcome.h"
@@ -19,15 +25,15 @@
     if (!object.is_object() || found == object.end()) {
         return fallback;
     }
+    bool matches = found->is_number();
     if constexpr (std::is_same_v<T, std::string>) {
-        return found->is_string() ? found->template get<T>() : fallback;
+        matches = found->is_string();
     } else if constexpr (std::is_same_v<T, bool>) {
-        return found->is_boolean() ? found->template get<T>() : fallback;
+        matches = found->is_boolean();
     } else if constexpr (std::is_unsigned_v<T>) {
-        return found->is_number_unsigned() ? found->template get<T>() : fallback;
-    } else {
-        return found->is_number() ? found->template get<T>() : fallback;
+        matches = found->is_number_unsigned() && found->template get<std::uint64_t>() <= std::numeric_limits<T>::max();
     }
+    return matches ? found->template get<T>() : fallback;
 }
 
 } // namespace snipefall
--- a/node/account_keeper.cpp
+++ b/node/account_keeper.cpp
@@ -12,7 +12,7 @@
 
 }
 
-account_keeper::account_keeper(node_id node, incarnation nodeIncarnation, calls run)
+account_keeper::account_keeper(const node_id &node, incarnation nodeIncarnation, calls run)
     : m_node(node)
     , m_run(std::move(run))
 {
--- a/node/account_keeper.h
+++ b/node/account_keeper.h
@@ -27,7 +27,7 @@
         std::function<void(const answer_record &)> observe; ///< Told of each answer, for the metrics.
     };
 
-    account_keeper(node_id node, incarnation nodeIncarnation, calls run);
+    account_keeper(const node_id &node, incarnation nodeIncarnation, calls run);
 
     void add(const answer_record &record);
     /** Marks that this node gives the service no more answers but refusals, by configuration @p version. */
--- a/node/caller_api.cpp
+++ b/node/caller_api.cpp
@@ -101,7 +101,9 @@
         return methodNotAllowed("POST");
     }
     if (m_hops.shouldForward(service, request)) {
-        return m_hops.forward(service, request);
+        if (std::optional<http_response> response = m_hops.forward(service, request)) {
+            return std::move(*response);
+        }
     }
     return action == "query" ? m_queries.handle(service, request) : m_executions.handle(service, request);
 }
--- a/node/closing_controller.cpp
+++ b/node/closing_controller.cpp
@@ -35,9 +35,9 @@
     return "collected/" + service.str();
 }
 
-json waiting(const closing_record &record, json nodes)
+json waiting(const closing_record &record, const json &nodes)
 {
-    return {{"service", record.service.str()}, {"state", toString(record.state)}, {"waiting_for", std::move(nodes)}};
+    return {{"service", record.service.str()}, {"state", toString(record.state)}, {"waiting_for", nodes}};
 }
 
 } // namespace
--- a/node/hop_forwarder.cpp
+++ b/node/hop_forwarder.cpp
@@ -1,6 +1,7 @@
 #include "node/hop_forwarder.h"
 
 #include <algorithm>
+#include <thread>
 
 #include "core/clock.h"
 #include "core/json.h"
@@ -13,9 +14,18 @@
 
 constexpr const char *HOP_HEADER = "Snipefall-Hop";
 constexpr long CONNECT_TIMEOUT_MS = 300;
+// While permits change hands, for example after a node joined, for a moment none of the known holders has any.
+constexpr duration HAND_OVER_WAIT = std::chrono::seconds(1);
+constexpr std::chrono::milliseconds HAND_OVER_POLL{20};
 // The holder keeps the request's deadline; this is for its answer to arrive. A holder that is paused answers nothing.
 constexpr long FORWARD_MARGIN_MS = 1000;
 
+bool isNoPermits(const http_response &response)
+{
+    const json body = response.status == 503 ? json::parse(response.body, nullptr, false) : json();
+    return body.is_object() && jsonValue<std::string>(body.value("error", json::object()), "code", "") == toString(error_code::no_permits);
+}
+
 } // namespace
 
 hop_forwarder::hop_forwarder(route_function route, deadline_function deadline, account_function account)
@@ -39,7 +49,7 @@
     return static_cast<long>(std::min(asked, longest)) + FORWARD_MARGIN_MS;
 }
 
-http_response hop_forwarder::forward(const service_id &service, const http_request &request) const
+std::optional<http_response> hop_forwarder::forward(const service_id &service, const http_request &request) const
 {
     const time_point received = system_clock().now();
     answer_record record;
@@ -58,18 +68,28 @@
             call.headers.push_back({name, value});
         }
     }
+    const bool forwarded = !request.header(HOP_HEADER).empty();
     std::set<node_id> avoided;
     for (;;) {
-        const hop_decision decision = m_route(service, request_id(request.header("Request-Id")), !request.header(HOP_HEADER).empty(), avoided);
-        if (decision.kind != hop_kind::forward) {
+        const hop_decision decision = m_route(service, record.request, forwarded, avoided);
+        if (decision.kind == hop_kind::serve) {
+            return std::nullopt;
+        }
+        if (decision.kind == hop_kind::refuse && (forwarded || system_clock().now() - received >= HAND_OVER_WAIT)) {
             break;
         }
+        if (decision.kind == hop_kind::refuse) {
+            std::this_thread::sleep_for(HAND_OVER_POLL);
+            avoided.clear();
+            continue;
+        }
         call.address = decision.target->callerAddress;
         const http_call_result result = executeHttpCall(call);
-        if (result.status == transport_status::ok) {
+        const bool answered = result.status == transport_status::ok;
+        if (answered && !isNoPermits(result.response)) {
             return result.response;
         }
-        if (result.mayHaveReachedServer) {
+        if (!answered && result.mayHaveReachedServer) {
             record.latency = system_clock().now() - received;
             const bool query = request.path.ends_with("/query");
             return refuse(
@@ -77,6 +97,10 @@
         }
         avoided.insert(decision.target->id);
     }
+    if (forwarded) {
+        // The node that passed the request on accounts for what its caller is told.
+        return errorResponse(503, error_code::no_permits, "this node holds no permits of service " + service.str(), run_state::not_run);
+    }
     record.latency = system_clock().now() - received;
     return refuse(record, answer_outcome::not_run, "no node holds permits of service " + service.str());
 }
--- a/node/hop_forwarder.h
+++ b/node/hop_forwarder.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <set>
 
 #include "core/ids.h"
@@ -37,17 +38,17 @@
     /**
      * Sends the request to a holder and returns its response.
      *
-     * Another holder is tried only if nothing was sent. Each attempt uses a new connection, so a request goes out at most once.
+     * Another holder is tried only if nothing was sent, or if the holder refused because it has no permits itself. Each attempt uses a new
+     * connection, so a request goes out at most once. Nothing is returned when this node received permits meanwhile and must serve it.
      */
-    http_response forward(const service_id &service, const http_request &request) const;
+    std::optional<http_response> forward(const service_id &service, const http_request &request) const;
 
 private:
     long timeoutOf(const service_id &service, const http_request &request) const;
-
-    deadline_function m_deadline;
     http_response refuse(answer_record record, answer_outcome outcomeKind, const std::string &message) const;
 
     route_function m_route;
+    deadline_function m_deadline;
     account_function m_account;
 };
 
--- a/node/move_manager.cpp
+++ b/node/move_manager.cpp
@@ -339,6 +339,7 @@
         return failure{error_code::conflict, "move " + record.moveId + " is final"};
     }
     record.state = move_state::rolled_back;
+    record.sharePercent = 0;
     record.stepStartedMs = wallClockMs();
     record.reason = "rolled back by " + author + ": " + reason;
     record.steps.push_back({record.state, record.sharePercent, record.stepStartedMs});
--- a/node/node_parts.cpp
+++ b/node/node_parts.cpp
@@ -413,7 +413,10 @@
                      record ? reason : "refused: " + record.reason().message,
                      replica.position().version.value());
         return record ? jsonResponse(toJson(*record))
-                      : errorResponse(httpStatusOf(record.reason().code), record.reason().code, record.reason().message, run_state::not_run);
+                      : errorResponse(httpStatusOf(record.reason().code),
+                                      record.reason().code,
+                                      record.reason().message,
+                                      record.reason().code == error_code::unknown_result ? run_state::unknown : run_state::not_run);
     });
 }
 
--- a/node/peer_controller.cpp
+++ b/node/peer_controller.cpp
@@ -78,7 +78,7 @@
         m_gossip->registerHandler(toMessageKind(kind), handler);
     }
     const std::optional<failure> failed = m_gossip->start();
-    return failed ? failed->message : std::string();
+    return failed ? "can't listen on " + m_settings.peerAddress + " for peers: " + failed->message : std::string();
 }
 
 void peer_controller::stop()
--- a/node/query_runner.cpp
+++ b/node/query_runner.cpp
@@ -227,10 +227,10 @@
     if (schedule) {
         scheduleTick(nextTick);
     }
-    return startSends(std::move(actions.sends));
+    return startSends(actions.sends);
 }
 
-bool query_runner::startSends(std::vector<send_action> sends)
+bool query_runner::startSends(const std::vector<send_action> &sends)
 {
     bool started = false;
     for (const send_action &send : sends) {
--- a/node/query_runner.h
+++ b/node/query_runner.h
@@ -63,7 +63,7 @@
     /** Carries the actions of one event out. Called with the runtime's mutex held through @p lock, which it releases. Returns whether a sub-request started. */
     bool apply(query_actions &actions, std::unique_lock<std::mutex> &lock);
     /** Starts the sends; a send without a free slot may lead to another one. */
-    bool startSends(std::vector<send_action> sends);
+    bool startSends(const std::vector<send_action> &sends);
     sub_target targetOf(sub_request_id sub) const;
     void finish(query_result result);
     void scheduleTick(time_point when);
--- a/node/status_parser.cpp
+++ b/node/status_parser.cpp
@@ -6,6 +6,9 @@
 
 outcome<snapshot_shards> parseSnapshot(const json &document)
 {
+    if (!document.is_object()) {
+        return failure{error_code::invalid_argument, "a snapshot is not an object"};
+    }
     const auto total = jsonValue<std::uint64_t>(document, "shards_total", 0);
     const json items = document.value("items_per_shard", json::array());
     const json held = document.value("shards", json::array());
@@ -41,7 +44,11 @@
     const auto state = jsonValue<std::string>(document, "state", "");
     server.leaving = server.leaving || state == "draining" || state == "leaving";
     server.snapshots.clear();
-    for (const json &entry : document.value("snapshots", json::array())) {
+    const json snapshots = document.value("snapshots", json::array());
+    if (!snapshots.is_array()) {
+        return failure{error_code::invalid_argument, "snapshots is not an array"};
+    }
+    for (const json &entry : snapshots) {
         const auto id = jsonValue<std::string>(entry, "id", "");
         const outcome<snapshot_shards> shards = parseSnapshot(entry);
         if (id.empty() || !shards) {
--- a/policy/account_key.h
+++ b/policy/account_key.h
@@ -15,7 +15,7 @@
     snapshot_id snapshot;
     answer_outcome outcome = answer_outcome::failed;
 
-    auto operator<=>(const account_key &) const = default;
+    auto operator<=>(const account_key &) const = default; // NOLINT(modernize-use-nullptr): false positive of clang-tidy 14.
 };
 
 } // namespace snipefall
--- a/policy/crash_event.h
+++ b/policy/crash_event.h
@@ -13,7 +13,7 @@
     backend_server_id server;
     std::uint64_t startedMs = 0;
 
-    auto operator<=>(const crash_event &) const = default;
+    auto operator<=>(const crash_event &) const = default; // NOLINT(modernize-use-nullptr): false positive of clang-tidy 14.
 };
 
 } // namespace snipefall
--- a/tests/cli/test_report_commands.cpp
+++ b/tests/cli/test_report_commands.cpp
@@ -20,6 +20,7 @@
 {
     words.insert(words.begin(), "snipefall");
     std::vector<char *> arguments;
+    arguments.reserve(words.size() + 1);
     for (std::string &word : words) {
         arguments.push_back(word.data());
     }
--- a/tests/node/test_connections.cpp
+++ b/tests/node/test_connections.cpp
@@ -95,6 +95,7 @@
     site.addServer("b", "domain-2", options);
     site.startService(2, {{"slots_per_server", 6}});
     std::vector<std::unique_ptr<load_thread>> load;
+    load.reserve(6);
     for (int i = 0; i < 6; ++i) {
         load.push_back(std::make_unique<load_thread>(site, i % 2 == 0 ? "node-1" : "node-2"));
     }
--- a/tests/node/test_overload.cpp
+++ b/tests/node/test_overload.cpp
@@ -77,6 +77,7 @@
     tally heavy;
     tally light;
     std::vector<std::thread> threads;
+    threads.reserve(HEAVY_THREADS + 1);
     for (int i = 0; i < HEAVY_THREADS; ++i) {
         threads.emplace_back([&, node = i % 2 == 0 ? "node-1" : "node-2"] { sendQueries(site.addresses(node).callers, "heavy", HEAVY_QUERIES, heavy); });
     }
--- a/tests/node/test_site.cpp
+++ b/tests/node/test_site.cpp
@@ -250,8 +250,8 @@
 
 std::string test_site::newRequestId()
 {
-    thread_local std::mt19937_64 random{std::random_device()()};
-    return uuid_v7::generate(wallClockMs(), random(), random()).text();
+    thread_local std::mt19937_64 s_random{std::random_device()()};
+    return uuid_v7::generate(wallClockMs(), s_random(), s_random()).text();
 }
 
 } // namespace snipefall
--- a/tests/node/test_whole_path.cpp
+++ b/tests/node/test_whole_path.cpp
@@ -90,6 +90,7 @@
     BOOST_TEST(firstRuns == 1);
     BOOST_TEST(site.runsOf(id) == 1U);
     const test_site::answer repeated = site.execute("node-2", id);
+    BOOST_TEST_INFO(repeated.body.dump());
     BOOST_TEST(repeated.status == 200);
     BOOST_TEST(repeated.repeated());
     BOOST_TEST(site.runsOf(id) == 1U);
--- a/tests/platform/test_audit_log.cpp
+++ b/tests/platform/test_audit_log.cpp
@@ -48,6 +48,7 @@
         memory_object_store memory;
         faulty_object_store store(memory, random);
         std::vector<std::unique_ptr<writer>> writers;
+        writers.reserve(3);
         for (int i = 0; i < 3; ++i) {
             writers.push_back(std::make_unique<writer>(store));
         }
@@ -108,6 +109,7 @@
     audit_log<memory_object_store> log(memory);
     for (int i = 0; i < 450; i += 50) {
         std::vector<json> batch;
+        batch.reserve(50);
         for (int j = 0; j < 50; ++j) {
             batch.push_back(makeEntry(std::to_string(i + j)));
         }
@@ -129,7 +131,7 @@
             entries.erase(index);
         }
         const auto written = memory.write(call_purpose::audit, key, changed.dump(), before.version);
-        BOOST_TEST(((*log.verify())["problem"] != ""));
+        BOOST_TEST(!(*log.verify())["problem"].get<std::string>().empty());
         (void)memory.write(call_purpose::audit, key, before.value, *written);
     }
     BOOST_TEST((*log.verify())["problem"] == "");
