--- a/cli/command_table.cpp
+++ b/cli/command_table.cpp
@@ -136,7 +136,7 @@
     }
     const std::string &output = values->text("output");
     if (output != "table" && std::find(entry.outputs.begin(), entry.outputs.end(), output) == entry.outputs.end()) {
-        output_writer::problem(fmt::format("--output must be one of {}", fmt::join(entry.outputs, ", ")));
+        output_writer::problem(fmt::format("--output must be {}", fmt::join(entry.outputs, " or ")));
         return exit_code::usage;
     }
     if (values->arguments.size() != entry.argumentCount) {
--- a/node/closing_controller.cpp
+++ b/node/closing_controller.cpp
@@ -83,7 +83,7 @@
             }
             json nodes = waitingNodes(record);
             if (!nodes.empty()) {
-                return waiting(record, std::move(nodes));
+                return waiting(record, nodes);
             }
             current = advance(*current, closing_state::collecting);
         } else {
