Judge latencies of a new version on independent samples only

The comparison takes samples for independent, but a stall delays all sub-requests in flight, and the first answer on a connection includes its set-up, which the new version has more of after each step.

Ruled out: the deadline (the rollbacks came 1 to 30 s after the start of a move of 50 s) and slow start (the servers were warm). A larger margin than one bucket would keep versions that are 1.5 times slower. Scaling the evidence by the share of samples that came alone still blamed three stalls.

Change: a node counts one random latency of the new version in each 50 ms, fewer than 10 prove nothing, and the first answer on a connection is left out. Nodes also send the dispersion of errors to the node that decides; it was lost on the way, so that peers' bursts counted in full.

--- a/node/move_messages.cpp
+++ b/node/move_messages.cpp
@@ -1,5 +1,7 @@
 #include "node/move_messages.h"
 
+#include <algorithm>
+
 #include "core/json.h"
 
 namespace snipefall {
@@ -15,7 +17,7 @@
 {
     json document = json::object();
     for (const auto &[route, counts] : routes) {
-        document[route] = {{"old", toJson(counts.oldVersion)}, {"new", toJson(counts.newVersion)}};
+        document[route] = {{"old", toJson(counts.oldVersion)}, {"new", toJson(counts.newVersion)}, {"excess_dispersion", counts.excessDispersion}};
     }
     return document;
 }
@@ -41,7 +43,7 @@
         if (!oldVersion || !newVersion) {
             return failure{error_code::invalid_argument, "the counts of route " + route + " are malformed"};
         }
-        routes[route] = {*oldVersion, *newVersion};
+        routes[route] = {*oldVersion, *newVersion, std::max(0.0, jsonValue<double>(counts, "excess_dispersion", 0))};
     }
     return routes;
 }
--- a/node/query_runner.cpp
+++ b/node/query_runner.cpp
@@ -167,7 +167,8 @@
     sub_answer_sample sample;
     sample.route = m_task.route;
     sample.failed = !answered;
-    sample.warm = !m_environment.dispatcher.isCold(server);
+    // Connection set-up depends on how this node's pool grows with the share, not on the version.
+    sample.warm = response.reusedConnection && !m_environment.dispatcher.isCold(server);
     sample.latency = response.elapsed;
     sample.at = system_clock().now();
     m_environment.moves.record(m_task.service, m_task.version, std::move(sample));
--- a/policy/fault_detector.cpp
+++ b/policy/fault_detector.cpp
@@ -1,6 +1,7 @@
 #include "policy/fault_detector.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "policy/version_comparison.h"
 
@@ -72,6 +73,7 @@
         state.step = {};
         // Answers from before the step must not count as recent answers at the new share.
         state.slices = {};
+        state.newLatency = {};
     }
 }
 
@@ -100,10 +102,40 @@
         ++version.answers;
         if (sample.failed) {
             ++version.errors;
-        } else if (sample.warm) {
+        } else if (sample.warm && !sample.newVersion) {
             version.latency.add(sample.latency);
         }
     }
+    if (sample.newVersion && !sample.failed && sample.warm) {
+        chooseLatency(state, sample);
+    }
+}
+
+void fault_detector::chooseLatency(route_state &state, const sub_answer_sample &sample)
+{
+    latency_choice &choice = state.newLatency;
+    const std::int64_t block = sample.at.time_since_epoch() / LATENCY_BLOCK;
+    if (block == choice.block) {
+        ++choice.seen;
+        choice.latency = m_random() % choice.seen == 0 ? sample.latency : choice.latency;
+        return;
+    }
+    countChosen(state);
+    choice = {block, 1, sample.latency};
+}
+
+void fault_detector::countChosen(route_state &state)
+{
+    const latency_choice chosen = std::exchange(state.newLatency, {});
+    if (chosen.seen == 0) {
+        return;
+    }
+    const std::int64_t second = chosen.block * LATENCY_BLOCK / std::chrono::seconds(1);
+    slice &past = state.slices[static_cast<std::size_t>(second) % SLICES];
+    state.step.newVersion.latency.add(chosen.latency);
+    if (past.second == second) {
+        past.counts.newVersion.latency.add(chosen.latency);
+    }
 }
 
 route_counts fault_detector::window(const route_state &state, time_point now, std::int64_t seconds)
@@ -136,6 +168,11 @@
     if (m_found) {
         return m_found;
     }
+    for (auto &[route, state] : m_routes) {
+        if (state.newLatency.block < now.time_since_epoch() / LATENCY_BLOCK) {
+            countChosen(state);
+        }
+    }
     counts_by_route fast;
     counts_by_route slow;
     counts_by_route step;
--- a/policy/fault_detector.h
+++ b/policy/fault_detector.h
@@ -3,6 +3,7 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 
 #include "core/clock.h"
@@ -50,15 +51,26 @@
         void add(const slice &past);
         double excess() const;
     };
+    /** A random one of the latencies in a LATENCY_BLOCK. */
+    struct latency_choice
+    {
+        std::int64_t block = -1;
+        unsigned seen = 0;
+        duration latency{};
+    };
     struct route_state
     {
         std::array<slice, SLICES> slices;
         version_counts oldEarlier; ///< The old version at earlier shares of this move.
         route_counts step;
         dispersion_sums dispersion;
+        latency_choice newLatency;
     };
 
-    static void add(route_state &state, const sub_answer_sample &sample);
+    void add(route_state &state, const sub_answer_sample &sample);
+    /** Counts one latency of the new version in each LATENCY_BLOCK, once the block is over. */
+    void chooseLatency(route_state &state, const sub_answer_sample &sample);
+    static void countChosen(route_state &state);
     static route_counts window(const route_state &state, time_point now, std::int64_t seconds);
     /** The counts with the old version's whole move as baseline when they hold too few of its answers. */
     route_counts comparable(route_counts counts, const route_state &state) const;
@@ -67,6 +79,7 @@
     version_id m_to;
     std::string m_moveId;
     std::uint32_t m_sharePercent;
+    std::minstd_rand m_random; ///< Chooses among latencies; needs no seed, since it decides nothing else.
     std::map<std::string, route_state> m_routes;
     std::optional<time_point> m_firstNew; ///< First answer of the new version.
     time_point m_lastCold; ///< Last answer of a cold backend server of the new version.
--- a/policy/version_comparison.cpp
+++ b/policy/version_comparison.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint64_t ASSUMED_BASELINE_ERRORS = 1;
 /** The old version's quantiles are too uncertain with fewer samples. */
 constexpr std::uint64_t MIN_LATENCY_SAMPLES = 50;
+/** Fewer samples of the new version than this may all come from two or three stalls of a busy machine. */
+constexpr std::uint64_t MIN_NEW_LATENCY_SAMPLES = 10;
 constexpr std::array<double, TESTS_PER_ROUTE - 1> LATENCY_QUANTILES{0.75, 0.95};
 /** Latency may grow by one bucket (factor 1.19) and by at least this much, because jitter dominates short latencies. */
 constexpr duration MIN_LATENCY_INCREASE{1000};
@@ -57,7 +59,7 @@
 
 void compareLatency(const latency_histogram &oldLatency, const latency_histogram &newLatency, double quantile, comparison_evidence &strongest)
 {
-    if (oldLatency.total() < MIN_LATENCY_SAMPLES) {
+    if (oldLatency.total() < MIN_LATENCY_SAMPLES || newLatency.total() < MIN_NEW_LATENCY_SAMPLES) {
         return;
     }
     const std::size_t oldBucket = oldLatency.quantileBucket(quantile);
--- a/tests/policy/test_fault_detector.cpp
+++ b/tests/policy/test_fault_detector.cpp
@@ -127,6 +127,28 @@
     BOOST_TEST(foundAtFullShare(false));
 }
 
+// Guards against taking a few stalls of a busy VM, each of which delays all sub-requests in flight, for a slow version.
+BOOST_AUTO_TEST_CASE(discountsStalls)
+{
+    const auto found = [](bool slowOutsideStalls) {
+        fault_detector detector(sampleMove());
+        for (int second = 0; second < 10; ++second) {
+            for (int i = 0; i < 200; ++i) {
+                const bool isNew = i % 20 == 0 || (i >= 100 && i < 105);
+                // The new version's sub-requests between 500 ms and 525 ms of some seconds are delayed together.
+                const bool slow = isNew && (slowOutsideStalls || (second % 3 == 1 && i >= 100 && i < 105));
+                detector.record({"/r", isNew, false, true, slow ? 40ms : 20ms, time_point(std::chrono::seconds(second) + 5ms * i)});
+            }
+            if (detector.check(time_point(std::chrono::seconds(second) + 999ms))) {
+                return true;
+            }
+        }
+        return false;
+    };
+    BOOST_TEST(!found(false));
+    BOOST_TEST(found(true));
+}
+
 // Guards the evidence against chance and against a missing baseline; ln(1000) is strong.
 BOOST_DATA_TEST_CASE(weighsRates, RATE_CASES)
 {
