--- a/tests/stand_ins/stand_in_backend.cpp
+++ b/tests/stand_ins/stand_in_backend.cpp
@@ -4,7 +4,7 @@
 #include <cmath>
 #include <cstdlib>
 
-#include "tests/stand_ins/json_responses.h"
+#include "tests/stand_ins/stand_in_replies.h"
 
 namespace snipefall {
 
@@ -69,12 +69,12 @@
 http_response stand_in_backend::handle(const http_request &request)
 {
     if (request.path == "/control" && request.method == "GET") {
-        return jsonResponse(state());
+        return jsonReply(state());
     }
     if (request.path == "/control" && request.method == "PUT") {
         const auto switches = parseJson(request.body);
         const std::string refusal = switches ? control(*switches) : switches.reason().message;
-        return refusal.empty() ? jsonResponse(state()) : errorResponse(400, "invalid_argument", refusal);
+        return refusal.empty() ? jsonReply(state()) : errorReply(400, "invalid_argument", refusal);
     }
     const connection_registry::connection peer(request.peerAddress, request.peerPort);
     const bool isFirst = m_connections.note(peer);
@@ -88,14 +88,14 @@
         m_maxConnections = std::max(m_maxConnections, open);
         if (open > m_options.connections) {
             ++m_counts["refused_connections"];
-            http_response refusal = errorResponse(429, "overloaded", "too many connections");
+            http_response refusal = errorReply(429, "overloaded", "too many connections");
             refusal.closeConnection = true;
             return refusal;
         }
         m_changed.wait_for(lock, std::chrono::milliseconds(m_options.connectCostMs), [this] { return m_stopping; });
     }
     if (request.path == "/health" && request.method == "GET") {
-        return jsonResponse({{"health", m_switches.health}}, m_switches.health == "healthy" ? 200 : 503);
+        return jsonReply({{"health", m_switches.health}}, m_switches.health == "healthy" ? 200 : 503);
     }
     lock.unlock();
     return request.path == "/status" && request.method == "GET" ? status() : handleWork(request);
@@ -105,7 +105,7 @@
 {
     const bool isKnown = request.path == "/shards/query" || request.path == "/execute" || request.path == "/cancel";
     if (!isKnown || request.method != "POST") {
-        return errorResponse(404, "not_found", "no route " + request.method + " " + request.path);
+        return errorReply(404, "not_found", "no route " + request.method + " " + request.path);
     }
     {
         const std::lock_guard lock(m_mutex);
@@ -116,7 +116,7 @@
     }
     const auto body = parseJson(request.body);
     if (!body || !body->is_object()) {
-        return errorResponse(400, "invalid_argument", "the body must be a JSON object");
+        return errorReply(400, "invalid_argument", "the body must be a JSON object");
     }
     if (request.path == "/cancel") {
         return handleCancel(*body);
@@ -154,24 +154,24 @@
         subId = !m_lastSubId.is_null() && m_lastSubId != subId ? m_lastSubId : json(subId.is_number_unsigned() ? subId.get<std::uint64_t>() + 1 : 0);
     }
     m_lastSubId = body["sub_id"];
-    return jsonResponse({{"sub_id", subId}, {"snapshot", snapshotId}, {"shard", shard}, {"items_seen", m_options.itemsPerShard}, {"results", results}});
+    return jsonReply({{"sub_id", subId}, {"snapshot", snapshotId}, {"shard", shard}, {"items_seen", m_options.itemsPerShard}, {"results", results}});
 }
 
 http_response stand_in_backend::handleExecute(const json &body, const std::string &path)
 {
     const std::string requestId = jsonValue<std::string>(body, "request_id", "");
     if (requestId.empty() || !body.contains("fencing_token") || !body["fencing_token"].is_number_unsigned()) {
-        return errorResponse(400, "invalid_argument", "request_id and fencing_token are required");
+        return errorReply(400, "invalid_argument", "request_id and fencing_token are required");
     }
     const fault_plan plan = planFaults(path);
     const long deadlineMs = std::max(0L, jsonValue<long>(body, "deadline_ms", DEFAULT_DEADLINE_MS));
     return runInSlot(plan, deadlineMs, {}, [&] {
         const std::size_t run = m_executions.run(requestId, body["fencing_token"].get<std::uint64_t>());
         if (run == 0) {
-            return errorResponse(409, "stale_fencing_token", "a higher fencing token was seen for this request");
+            return errorReply(409, "stale_fencing_token", "a higher fencing token was seen for this request");
         }
         http_response response =
-            jsonResponse({{"request_id", requestId}, {"result", {{"server", m_options.serverId}, {"version", m_options.version}, {"run", run}}}});
+            jsonReply({{"request_id", requestId}, {"result", {{"server", m_options.serverId}, {"version", m_options.version}, {"run", run}}}});
         const std::lock_guard lock(m_mutex);
         response.closeWithoutResponse = m_switches.loseExecuteAnswers > 0;
         m_switches.loseExecuteAnswers -= response.closeWithoutResponse ? 1 : 0;
@@ -184,16 +184,16 @@
 {
     const time_point deadline = system_clock().now() + std::chrono::milliseconds(deadlineMs);
     if (plan.switches.drain) {
-        return errorResponse(503, "draining", "the server is draining");
+        return errorReply(503, "draining", "the server is draining");
     }
     const slot_gate::entry entry = plan.sheds ? slot_gate::entry::shed : m_gate.enter(deadline);
     if (entry == slot_gate::entry::shed) {
         const std::lock_guard lock(m_mutex);
         ++m_counts["shed"];
-        return errorResponse(429, "overloaded", "no free slot");
+        return errorReply(429, "overloaded", "no free slot");
     }
     if (entry == slot_gate::entry::expired || entry == slot_gate::entry::stopped) {
-        return errorResponse(504, "deadline_exceeded", "the deadline passed before the request ran");
+        return errorReply(504, "deadline_exceeded", "the deadline passed before the request ran");
     }
     const bool runsFirst = cancelKey.empty();
     http_response response = runsFirst && !plan.fails ? work() : http_response();
@@ -213,11 +213,11 @@
         m_counts["cancelled"] += cancelled ? 1 : 0;
     }
     if (cancelled) {
-        response = errorResponse(410, "cancelled", "the request was cancelled", "ran");
+        response = errorReply(410, "cancelled", "the request was cancelled", "ran");
     } else if (plan.fails) {
-        response = errorResponse(500, "internal", "the version is bad", runsFirst ? "not_run" : "ran");
+        response = errorReply(500, "internal", "the version is bad", runsFirst ? "not_run" : "ran");
     } else if (end > deadline) {
-        response = errorResponse(504, "deadline_exceeded", "the deadline passed while the request ran", "ran");
+        response = errorReply(504, "deadline_exceeded", "the deadline passed while the request ran", "ran");
     } else if (!runsFirst) {
         response = work();
     }
@@ -228,7 +228,7 @@
 http_response stand_in_backend::handleCancel(const json &body)
 {
     if (!body.contains("sub_id")) {
-        return errorResponse(400, "invalid_argument", "sub_id is required");
+        return errorReply(400, "invalid_argument", "sub_id is required");
     }
     const std::lock_guard lock(m_mutex);
     const std::string key = body["sub_id"].dump();
@@ -237,7 +237,7 @@
         m_cancelled.insert(key);
         m_changed.notify_all();
     }
-    return jsonResponse({{"cancelled", isRunning}});
+    return jsonReply({{"cancelled", isRunning}});
 }
 
 stand_in_backend::fault_plan stand_in_backend::planFaults(const std::string &path)
--- a/tests/stand_ins/stand_in_backend_state.cpp
+++ b/tests/stand_ins/stand_in_backend_state.cpp
@@ -1,5 +1,5 @@
-#include "tests/stand_ins/json_responses.h"
 #include "tests/stand_ins/stand_in_backend.h"
+#include "tests/stand_ins/stand_in_replies.h"
 
 namespace snipefall {
 
@@ -8,19 +8,19 @@
     const bool isWellFormed = body.contains("sub_id") && body.contains("service") && body["service"].is_string() && body.contains("snapshot")
         && body["snapshot"].is_string() && body.contains("shard") && body["shard"].is_number_unsigned() && body.contains("query");
     if (!isWellFormed) {
-        return errorResponse(400, "invalid_argument", "service, snapshot, shard, sub_id and query are required");
+        return errorReply(400, "invalid_argument", "service, snapshot, shard, sub_id and query are required");
     }
     if (body["service"] != m_options.service) {
-        return errorResponse(404, "not_found", "this server answers for service " + m_options.service);
+        return errorReply(404, "not_found", "this server answers for service " + m_options.service);
     }
     const std::lock_guard lock(m_mutex);
     const auto found = m_snapshots.find(body["snapshot"].get<std::string>());
     if (found == m_snapshots.end()) {
-        return errorResponse(409, "snapshot_not_held", "the snapshot is not held");
+        return errorReply(409, "snapshot_not_held", "the snapshot is not held");
     }
     const auto shard = body["shard"].get<std::uint64_t>();
     if (shard >= found->second.shardsTotal || !found->second.held.contains(static_cast<std::uint32_t>(shard))) {
-        return errorResponse(409, "shard_not_held", "the shard is not held");
+        return errorReply(409, "shard_not_held", "the shard is not held");
     }
     http_response held;
     held.body.clear();
@@ -50,16 +50,16 @@
                              {"shards", held.held}});
     }
     const bool lies = m_switches.misleadingHealth;
-    return jsonResponse({{"server", m_options.serverId},
-                         {"service", m_options.service},
-                         {"version", m_options.version},
-                         {"domain", m_options.domain},
-                         {"started_ms", m_startedMs},
-                         {"state", lies ? "serving" : (m_switches.drain ? "draining" : (isCold ? "cold" : "serving"))},
-                         {"running", lies ? 0U : running},
-                         {"slots", m_options.slots},
-                         {"connections", m_options.connections},
-                         {"snapshots", snapshots}});
+    return jsonReply({{"server", m_options.serverId},
+                      {"service", m_options.service},
+                      {"version", m_options.version},
+                      {"domain", m_options.domain},
+                      {"started_ms", m_startedMs},
+                      {"state", lies ? "serving" : (m_switches.drain ? "draining" : (isCold ? "cold" : "serving"))},
+                      {"running", lies ? 0U : running},
+                      {"slots", m_options.slots},
+                      {"connections", m_options.connections},
+                      {"snapshots", snapshots}});
 }
 
 std::string stand_in_backend::control(const json &switches)
--- a/tests/stand_ins/stand_in_platform.cpp
+++ b/tests/stand_ins/stand_in_platform.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
-#include "tests/stand_ins/json_responses.h"
+#include "tests/stand_ins/stand_in_replies.h"
 
 namespace snipefall {
 
@@ -35,11 +35,11 @@
 {
     switch (reason.code) {
     case error_code::not_found:
-        return errorResponse(404, "not_found", reason.message);
+        return errorReply(404, "not_found", reason.message);
     case error_code::unavailable:
-        return errorResponse(503, "unavailable", reason.message);
+        return errorReply(503, "unavailable", reason.message);
     default:
-        return errorResponse(500, std::string(toString(reason.code)), reason.message, "unknown");
+        return errorReply(500, std::string(toString(reason.code)), reason.message, "unknown");
     }
 }
 
@@ -106,14 +106,14 @@
         return route(request);
     }
     if (request.method == "GET") {
-        return jsonResponse(state());
+        return jsonReply(state());
     }
     const auto switches = parseJson(request.body);
     if (!switches) {
-        return errorResponse(400, "invalid_argument", switches.reason().message);
+        return errorReply(400, "invalid_argument", switches.reason().message);
     }
     const std::string refusal = control(*switches);
-    return refusal.empty() ? jsonResponse(state()) : errorResponse(400, "invalid_argument", refusal);
+    return refusal.empty() ? jsonReply(state()) : errorReply(400, "invalid_argument", refusal);
 }
 
 http_response stand_in_platform::route(const http_request &request)
@@ -132,10 +132,10 @@
         : request.path == "/vms"         ? "vms"
                                          : nullptr;
     if (kind == nullptr || (!isGet && !isObject)) {
-        return errorResponse(404, "not_found", "no route " + request.method + " " + request.path);
+        return errorReply(404, "not_found", "no route " + request.method + " " + request.path);
     }
     if (!admit(kind)) {
-        return errorResponse(503, "unavailable", "the platform is down");
+        return errorReply(503, "unavailable", "the platform is down");
     }
     if (isObject) {
         return isGet ? readObject(key) : writeObject(key, request.body);
@@ -149,32 +149,32 @@
 http_response stand_in_platform::readObject(const std::string &key)
 {
     const auto value = m_store.read(call_purpose::configuration, key);
-    return value ? jsonResponse(toJson(*value)) : toResponse(value.reason());
+    return value ? jsonReply(toJson(*value)) : toResponse(value.reason());
 }
 
 http_response stand_in_platform::writeObject(const std::string &key, const std::string &body)
 {
     const auto document = parseJson(body);
     if (!document) {
-        return errorResponse(400, "invalid_argument", document.reason().message);
+        return errorReply(400, "invalid_argument", document.reason().message);
     }
     const json &fields = *document;
     if (!fields.is_object() || !fields.contains("expected_version") || !fields["expected_version"].is_number_unsigned() || !fields.contains("value")
         || !fields["value"].is_string()) {
-        return errorResponse(400, "invalid_argument", "the body must be {\"expected_version\": unsigned number, \"value\": string}");
+        return errorReply(400, "invalid_argument", "the body must be {\"expected_version\": unsigned number, \"value\": string}");
     }
     std::string value = fields["value"].get<std::string>();
     if (value.size() > MAX_VALUE_BYTES) {
-        return errorResponse(413, "invalid_argument", "the value is larger than 1 MB");
+        return errorReply(413, "invalid_argument", "the value is larger than 1 MB");
     }
     const object_version expected(fields["expected_version"].get<std::uint64_t>());
     const auto written = m_store.write(call_purpose::configuration, key, std::move(value), expected);
     http_response response;
     if (written) {
-        response = jsonResponse({{"version", written->value()}});
+        response = jsonReply({{"version", written->value()}});
     } else if (written.reason().code == error_code::conflict) {
         const auto current = m_store.read(call_purpose::configuration, key);
-        response = jsonResponse({{"version", current ? current->version.value() : 0}}, 409);
+        response = jsonReply({{"version", current ? current->version.value() : 0}}, 409);
     } else {
         return toResponse(written.reason());
     }
@@ -185,7 +185,7 @@
 http_response stand_in_platform::listObjects(const std::string &prefix)
 {
     const auto objects = m_store.list(call_purpose::configuration, prefix);
-    return objects ? jsonResponse({{"objects", toJson(*objects)}}) : toResponse(objects.reason());
+    return objects ? jsonReply({{"objects", toJson(*objects)}}) : toResponse(objects.reason());
 }
 
 http_response stand_in_platform::watchObjects(const http_request &request)
@@ -193,30 +193,30 @@
     std::uint64_t after = 0;
     std::uint64_t timeoutMs = 0;
     if (!parseNumber(request.parameter("after"), after) || !parseNumber(request.parameter("timeout_ms"), timeoutMs)) {
-        return errorResponse(400, "invalid_argument", "after and timeout_ms must be unsigned numbers");
+        return errorReply(400, "invalid_argument", "after and timeout_ms must be unsigned numbers");
     }
     const long wait = static_cast<long>(std::min<std::uint64_t>(timeoutMs, MAX_WATCH_MS));
     const auto result = m_store.watch(call_purpose::configuration, request.parameter("prefix"), after, wait);
-    return result ? jsonResponse({{"revision", result->revision}, {"objects", toJson(result->objects)}}) : toResponse(result.reason());
+    return result ? jsonReply({{"revision", result->revision}, {"objects", toJson(result->objects)}}) : toResponse(result.reason());
 }
 
 http_response stand_in_platform::putVms(const std::string &body)
 {
     const auto document = parseJson(body);
     if (!document || !document->is_array()) {
-        return errorResponse(400, "invalid_argument", "the body must be a JSON array of VMs");
+        return errorReply(400, "invalid_argument", "the body must be a JSON array of VMs");
     }
     std::vector<vm_entry> vms;
     for (const json &entry : *document) {
         vm_entry vm;
         if (!parseVm(entry, vm)) {
-            return errorResponse(400, "invalid_argument", "malformed VM: " + entry.dump(-1, ' ', false, json::error_handler_t::replace));
+            return errorReply(400, "invalid_argument", "malformed VM: " + entry.dump(-1, ' ', false, json::error_handler_t::replace));
         }
         vms.push_back(std::move(vm));
     }
     const std::lock_guard lock(m_mutex);
     m_laggingVms.emplace_back(system_clock().now() + std::chrono::milliseconds(m_vmListLagMs), std::move(vms));
-    return jsonResponse({{"visible_after_ms", m_vmListLagMs}});
+    return jsonReply({{"visible_after_ms", m_vmListLagMs}});
 }
 
 http_response stand_in_platform::getVms()
@@ -242,7 +242,7 @@
                          {"domain", vm.domain.str()},
                          {"state", vm.state}});
     }
-    return jsonResponse(array);
+    return jsonReply(array);
 }
 
 bool stand_in_platform::admit(const char *kind)
--- a/tests/stand_ins/json_responses.h
+++ b/tests/stand_ins/stand_in_replies.h
@@ -8,9 +8,9 @@
 namespace snipefall {
 
 /** A response with a JSON body. */
-http_response jsonResponse(const json &body, int status = 200);
+http_response jsonReply(const json &body, int status = 200);
 
 /** A refusal; @p ran is "not_run", "ran" or "unknown". */
-http_response errorResponse(int status, const std::string &code, const std::string &message, const std::string &ran = "not_run");
+http_response errorReply(int status, const std::string &code, const std::string &message, const std::string &ran = "not_run");
 
 } // namespace snipefall
