Let membership report a member's first start time

Cause: a refutation raises a member's incarnation by one, but the permit records and the accounts hold the start time. permit_controller copied the cluster view for each service in each step and undid differences below 1,000, and service_report had the same tolerance. A node that was restarted within one second, or with its clock set back a little, passed for its earlier run, and a standby of a node that had refuted was recorded with the raised number.

These effects follow from the code; no test showed them before.

Ruled out: a first start time that each node derives from the claims it saw, because a node that joins after a refutation can't know it.

Change: a member counts its refutations, and the count travels with its record (an optional field that takes no bytes while it is 0). cluster_view, placement_member and the report use member::firstStarted(); the copies and both tolerances are gone.

Tests: refutationsKeepTheFirstStartTime at 7 to 100 nodes with loss, also for a node that joins late and for a restart; the round trip of the field. The report's test passes the same raised incarnations as before, now as members.

--- a/node/closing_controller.cpp
+++ b/node/closing_controller.cpp
@@ -261,7 +261,7 @@
         }
     }
     for (const member &known : m_peers.members()) {
-        input.members[known.id] = known.started;
+        input.members[known.id] = known;
     }
     const outcome<object> move = m_run.read(moveKey(record.service));
     if (!move && move.reason().code != error_code::not_found) {
--- a/node/peer_controller.cpp
+++ b/node/peer_controller.cpp
@@ -224,7 +224,7 @@
     for (const member &peer : members()) {
         if (isLive(peer)) {
             const bool drains = draining.count(DRAINING_FACT_PREFIX + peer.id.str()) > 0;
-            live.push_back({peer.id, peer.started, peer.domain, drains ? 0.0 : 1.0, peer.callerAddress});
+            live.push_back({peer.id, peer.firstStarted(), peer.domain, drains ? 0.0 : 1.0, peer.callerAddress});
         }
     }
     return live;
@@ -240,7 +240,7 @@
     }
     for (const member &peer : members()) {
         if (isLive(peer)) {
-            view->live.emplace(peer.id, peer.started);
+            view->live.emplace(peer.id, peer.firstStarted());
         } else if (listed.count(m_settings.id) > 0 && listed.count(peer.id) == 0) {
             // A list without this node doesn't show nodes at all, so it proves nothing about another one.
             view->gone.insert(peer.id);
--- a/node/permit_controller.cpp
+++ b/node/permit_controller.cpp
@@ -16,9 +16,6 @@
 
 constexpr const char *KEY_PREFIX = "permits/";
 constexpr duration PROMISE_TIMEOUT = std::chrono::milliseconds(800);
-// Membership raises a node's start time by one for each refutation of a suspicion, the permit record keeps the first one. A restarted process
-// differs by far more than this.
-constexpr std::uint64_t MAX_REFUTATIONS = 1000;
 
 json toJson(const versioned_permits &permits)
 {
@@ -154,20 +151,11 @@
         }
         around.limit = {settings.slotsPerServer, settings.connectionsPerServer};
         around.inUse = {m_usage(service), 0};
+        around.cluster = cluster;
         const std::shared_ptr<service_entry> entry = entryOf(service);
         std::vector<permit_action> actions;
         {
             const std::lock_guard lock(entry->mutex);
-            auto view = std::make_shared<cluster_view>(*cluster);
-            if (entry->holder.permits()) {
-                for (const permit_entry &holder : entry->holder.permits()->record.ring()) {
-                    const auto live = view->live.find(holder.node);
-                    if (live != view->live.end() && live->second.value() - holder.started.value() < MAX_REFUTATIONS) {
-                        live->second = holder.started;
-                    }
-                }
-            }
-            around.cluster = std::move(view);
             actions = entry->holder.tick(system_clock().now(), around);
         }
         for (permit_action &action : actions) {
--- a/peer/gossip_codec.cpp
+++ b/peer/gossip_codec.cpp
@@ -31,6 +31,9 @@
     record.configVersion = toWire(update.subject.configVersion.value());
     record.state = static_cast<std::int8_t>(update.subject.state);
     record.accuser = update.accuser.str();
+    if (update.subject.refutations > 0) {
+        record.__set_refutations(toWire(update.subject.refutations));
+    }
     return record;
 }
 
@@ -45,6 +48,7 @@
     update.subject.callerAddress = record.callerAddress;
     update.subject.domain = failure_domain_id(record.domain);
     update.subject.started = incarnation(fromWire(record.started));
+    update.subject.refutations = record.__isset.refutations ? fromWire(record.refutations) : 0;
     update.subject.configVersion = config_version(fromWire(record.configVersion));
     update.subject.state = static_cast<member_state>(record.state);
     update.accuser = node_id(record.accuser);
--- a/peer/peer_messages.thrift
+++ b/peer/peer_messages.thrift
@@ -28,6 +28,8 @@
   6: i64 configVersion
   7: i8 state
   8: string accuser
+  /** By how much started is above the start time; absent for 0. */
+  9: optional i64 refutations
 }
 
 struct fact_record {
--- a/policy/membership.cpp
+++ b/policy/membership.cpp
@@ -313,6 +313,7 @@
 
 void membership::raiseIncarnation(incarnation claimed)
 {
+    m_self.refutations += claimed.next().value() - m_self.started.value();
     m_self.started = claimed.next();
     m_selfNews = sendLimit();
 }
--- a/policy/placement_member.h
+++ b/policy/placement_member.h
@@ -10,7 +10,7 @@
 struct placement_member
 {
     node_id id;
-    incarnation started; ///< The incarnation that membership reports.
+    incarnation started; ///< member::firstStarted().
     failure_domain_id domain;
     double weight = 1.0; ///< Relative capacity; at 0 or less the node is live but receives no new placement (it drains).
     std::string callerAddress; ///< "ip:port" that callers connect to.
--- a/policy/service_report.cpp
+++ b/policy/service_report.cpp
@@ -6,9 +6,6 @@
 
 namespace {
 
-// A refutation raises a member's incarnation by one millisecond; a difference above this is a restart.
-constexpr std::uint64_t MAX_REFUTATIONS = 1000;
-
 using incarnation_key = std::pair<node_id, incarnation>;
 using account_map = std::map<incarnation_key, node_account>;
 
@@ -115,9 +112,10 @@
             gaps.push_back(gapJson(key, account.savedToMs(), replaced ? next->second.startedMs() : input.collectedMs));
         }
     }
-    for (const auto &[node, started] : input.members) {
+    for (const auto &[node, known] : input.members) {
+        const incarnation started = known.firstStarted();
         const auto found = newest.find(node);
-        if (found == newest.end() || started.value() > found->second.value() + MAX_REFUTATIONS) {
+        if (found == newest.end() || started > found->second) {
             // The node never saved an account in this incarnation.
             gaps.push_back(gapJson({node, started}, started.value(), input.collectedMs));
         }
--- a/tests/peer/test_envelope_codec.cpp
+++ b/tests/peer/test_envelope_codec.cpp
@@ -88,6 +88,7 @@
         update.subject.peerAddress = "1.2.3.4:5";
         update.subject.callerAddress = text(22);
         update.subject.started = incarnation(1ULL << (random() % 45));
+        update.subject.refutations = random() % 2 * (random() % (update.subject.started.value() + 1));
         update.subject.configVersion = config_version(random() % 100000);
         update.subject.state = static_cast<member_state>(random() % 4);
         update.accuser = node_id(text(30));
@@ -152,6 +153,10 @@
         const auto decoded = decodeGossip(bytes);
         BOOST_REQUIRE(decoded.has_value());
         BOOST_REQUIRE(encodeGossip(*decoded) == bytes);
+        BOOST_REQUIRE_EQUAL(decoded->updates.size(), message.updates.size());
+        for (std::size_t k = 0; k < message.updates.size(); ++k) {
+            BOOST_REQUIRE(decoded->updates[k].subject.firstStarted() == message.updates[k].subject.firstStarted());
+        }
     }
 }
 
--- a/tests/policy/test_gossip_engine.cpp
+++ b/tests/policy/test_gossip_engine.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <functional>
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -101,6 +102,45 @@
     BOOST_TEST(network.agrees());
 }
 
+// Guards against permits and accounts of a running node that are taken for those of an earlier run, because its refutations raised its incarnation. A node
+// that joins after the refutations must know the start time too, and a restart must not keep the old one.
+BOOST_DATA_TEST_CASE(refutationsKeepTheFirstStartTime, NETWORK_CASES)
+{
+    constexpr std::size_t REFUTING = 2;
+    constexpr std::size_t LATE = 5;
+    gossip_network network = joinedNetwork(sample.size, sample.loss, 19);
+    const auto known = [&](std::size_t at) { return *network.engine(at).nodes().others().find(gossip_network::idOf(REFUTING)); };
+    const auto countOthers = [&](const std::function<bool(const member &)> &condition) {
+        std::size_t count = 0;
+        for (std::size_t i = 0; i < network.size(); ++i) {
+            count += i != REFUTING && network.runs(i) && condition(known(i)) ? 1 : 0;
+        }
+        return count;
+    };
+    const auto &self = network.engine(REFUTING).nodes().self();
+    const incarnation first = self.firstStarted();
+    network.stop(LATE);
+    BOOST_REQUIRE(network.runUntil(seconds(30), [&] { return network.agrees(); }).has_value());
+    for (int i = 0; i < 3; ++i) {
+        const incarnation before = self.started;
+        network.pause(REFUTING);
+        const auto suspects = [&](const member &record) { return record.state == member_state::suspect && record.started == before; };
+        BOOST_REQUIRE(network.runUntil(seconds(30), [&] { return countOthers(suspects) > 0; }).has_value());
+        network.resume(REFUTING);
+        BOOST_REQUIRE(network.runUntil(seconds(30), [&] { return self.started > before; }).has_value());
+    }
+    network.start(LATE);
+    const auto isCurrent = [&](const member &record) { return record.started == self.started; };
+    BOOST_REQUIRE(network.runUntil(seconds(60), [&] { return network.agrees() && countOthers(isCurrent) == network.size() - 1; }).has_value());
+    BOOST_TEST((self.firstStarted() == first));
+    BOOST_TEST(countOthers([&](const member &record) { return record.started > first && record.firstStarted() == first; }) == network.size() - 1);
+    network.stop(REFUTING);
+    network.start(REFUTING);
+    const incarnation restarted = network.engine(REFUTING).nodes().self().firstStarted();
+    BOOST_TEST((restarted > first));
+    BOOST_REQUIRE(network.runUntil(seconds(30), [&] { return known(0).firstStarted() == restarted && known(LATE).firstStarted() == restarted; }).has_value());
+}
+
 // Guards against a process that accuses others of not having answered while it was itself stopped.
 BOOST_AUTO_TEST_CASE(wakingNodeAccusesNobody)
 {
--- a/tests/policy/test_service_report.cpp
+++ b/tests/policy/test_service_report.cpp
@@ -104,7 +104,8 @@
                     }
                 }
                 mayMiss[{name.str(), start}] = !final;
-                input.members[name] = incarnation(start + 3);
+                input.members[name].started = incarnation(start + 3);
+                input.members[name].refutations = 3;
                 std::shuffle(copies.begin(), copies.end(), random);
                 input.accounts.insert(input.accounts.end(), copies.begin(), copies.end());
             }
