Keep the placement of each service until the membership changes

Cause: permit_controller::route, its steps and node_parts::usesService copied and ranked all members for each request and each service, although the result changes only with the live members and the nodes that drain.

Change: placement_cache holds the placement of each service in shards, each under its lock, with the version it was computed for. member_list counts changes of the live members, fact_table counts changes by kind, and gossip_service publishes the sum without its lock. hop_question refers to the members instead of copying them. An expired draining fact takes effect with the next expiry tick (200 ms) instead of at once.

Left as it is: entriesOf and move_manager still place anew.

Tests: placement_cache_tests, also with look-ups during changes; liveVersionFollowsTheLiveMembers; versionOfAKindFollowsItsFacts.

--- a/node/node_parts.cpp
+++ b/node/node_parts.cpp
@@ -53,11 +53,13 @@
                 [this](const answer_record &record) { metrics.countAnswer(record); }})
     , configurations(replica, {[this] { return log.load(); }, [this](config_version version) { return log.readAfter(version); }})
     , peers(settings, ownIncarnation, replica, configurations)
+    , placements([this] { return peers.placementVersion(); }, [this] { return peers.placementMembers(); })
     , quarantine(peers)
     , permits(settings.id,
               ownIncarnation,
               replica,
               peers,
+              placements,
               {[this](const std::string &prefix) { return store.list(call_purpose::permit, prefix); },
                [this](const std::string &key, const std::string &value, object_version expected) {
                    return store.write(call_purpose::permit, key, value, expected);
@@ -376,11 +378,7 @@
 
 bool node_parts::usesService(const service_id &service)
 {
-    if (permits.usable(service).slots > 0) {
-        return true;
-    }
-    const std::vector<placement_member> placed = placeService(service, peers.placementMembers(), MAX_HOLDERS);
-    return std::any_of(placed.begin(), placed.end(), [this](const placement_member &peer) { return peer.id == settings.id; });
+    return permits.usable(service).slots > 0 || placements.placementOf(service)->places(settings.id);
 }
 
 void node_parts::addMoveRoutes()
--- a/node/node_parts.h
+++ b/node/node_parts.h
@@ -24,6 +24,7 @@
 #include "node/operator_api.h"
 #include "node/peer_controller.h"
 #include "node/permit_controller.h"
+#include "node/placement_cache.h"
 #include "node/quarantine_controller.h"
 #include "node/query_environment.h"
 #include "node/query_service.h"
@@ -75,6 +76,7 @@
     account_keeper accounts;
     configuration_controller configurations;
     peer_controller peers;
+    placement_cache placements;
     quarantine_controller quarantine;
     permit_controller permits;
     move_manager moves;
--- a/node/peer_controller.cpp
+++ b/node/peer_controller.cpp
@@ -230,6 +230,11 @@
     return live;
 }
 
+std::uint64_t peer_controller::placementVersion() const
+{
+    return m_gossip->placementVersion();
+}
+
 std::shared_ptr<const cluster_view> peer_controller::clusterView() const
 {
     auto view = std::make_shared<cluster_view>();
--- a/node/peer_controller.h
+++ b/node/peer_controller.h
@@ -56,6 +56,8 @@
     std::vector<member> members() const;
     /** The live nodes as placement sees them; draining ones have weight 0. */
     std::vector<placement_member> placementMembers() const;
+    /** Changes with the result of placementMembers(). */
+    std::uint64_t placementVersion() const;
     std::shared_ptr<const cluster_view> clusterView() const;
     /** The node ids that the platform's VM list shows, for cluster_view::gone. */
     void setListedNodes(std::set<node_id> listed);
--- a/node/permit_controller.cpp
+++ b/node/permit_controller.cpp
@@ -1,14 +1,12 @@
 #include "node/permit_controller.h"
 
-#include <algorithm>
-
 #include "core/configuration_replica.h"
 #include "core/json.h"
 #include "core/logger.h"
 #include "node/peer_controller.h"
+#include "node/placement_cache.h"
 #include "policy/cluster_view.h"
 #include "policy/permit_holder.h"
-#include "policy/placement.h"
 
 namespace snipefall {
 
@@ -65,12 +63,18 @@
     ask_promise action;
 };
 
-permit_controller::permit_controller(
-    node_id self, incarnation ownIncarnation, const configuration_replica &replica, peer_controller &peers, platform_calls platform, usage_function usage)
+permit_controller::permit_controller(node_id self,
+                                     incarnation ownIncarnation,
+                                     const configuration_replica &replica,
+                                     peer_controller &peers,
+                                     placement_cache &placements,
+                                     platform_calls platform,
+                                     usage_function usage)
     : m_self(std::move(self))
     , m_incarnation(ownIncarnation)
     , m_replica(replica)
     , m_peers(peers)
+    , m_placements(placements)
     , m_platform(std::move(platform))
     , m_usage(std::move(usage))
 {
@@ -118,8 +122,9 @@
         }
     }
     question.record = record ? &*record : nullptr;
-    question.live = m_peers.placementMembers();
-    question.placed = placeService(service, question.live, MAX_HOLDERS);
+    const std::shared_ptr<const placement_cache::service_placement> placement = m_placements.placementOf(service);
+    question.live = *placement->live;
+    question.placed = placement->placed;
     return routeHop(question);
 }
 
@@ -140,15 +145,14 @@
 void permit_controller::tickServices(std::vector<pending_read> &reads, std::map<node_id, std::vector<pending_promise>> &promises)
 {
     const auto config = m_replica.current();
-    const std::vector<placement_member> members = m_peers.placementMembers();
     const std::shared_ptr<const cluster_view> cluster = m_peers.clusterView();
     for (const auto &[service, settings] : config->services) {
         permit_surroundings around;
-        around.placed = placeService(service, members, MAX_HOLDERS);
-        const bool placed = std::any_of(around.placed.begin(), around.placed.end(), [this](const placement_member &peer) { return peer.id == m_self; });
-        if (!placed && !m_services.find(service)) {
+        const std::shared_ptr<const placement_cache::service_placement> placement = m_placements.placementOf(service);
+        if (!placement->places(m_self) && !m_services.find(service)) {
             continue;
         }
+        around.placed = placement->placed;
         around.limit = {settings.slotsPerServer, settings.connectionsPerServer};
         around.inUse = {m_usage(service), 0};
         around.cluster = cluster;
--- a/node/permit_controller.h
+++ b/node/permit_controller.h
@@ -23,6 +23,7 @@
 class configuration_replica;
 class peer_controller;
 class permit_holder;
+class placement_cache;
 
 /** Drives the permit_holder of each service in which this node has a part: talks to the platform and to the takers of its shares. */
 class permit_controller
@@ -37,8 +38,13 @@
     using usage_function = std::function<unsigned(const service_id &)>;
     using change_callback = std::function<void(const service_id &)>;
 
-    permit_controller(
-        node_id self, incarnation ownIncarnation, const configuration_replica &replica, peer_controller &peers, platform_calls platform, usage_function usage);
+    permit_controller(node_id self,
+                      incarnation ownIncarnation,
+                      const configuration_replica &replica,
+                      peer_controller &peers,
+                      placement_cache &placements,
+                      platform_calls platform,
+                      usage_function usage);
     ~permit_controller();
 
     /** Called after a service's usable share has grown. */
@@ -70,6 +76,7 @@
     const incarnation m_incarnation;
     const configuration_replica &m_replica;
     peer_controller &m_peers;
+    placement_cache &m_placements;
     platform_calls m_platform;
     usage_function m_usage;
     change_callback m_onGrowth;
--- a/peer/gossip_service.cpp
+++ b/peer/gossip_service.cpp
@@ -107,6 +107,7 @@
     {
         const std::lock_guard lock(m_mutex);
         send(m_engine->leave(m_clock.now()));
+        notePlacementVersion();
     }
     m_server->stop();
     m_udp.close();
@@ -158,6 +159,7 @@
     {
         const std::lock_guard lock(m_mutex);
         send(m_engine->receive(m_clock.now(), message->sender, from, *gossip));
+        notePlacementVersion();
         events = m_engine->takeEvents();
     }
     notify(events);
@@ -169,6 +171,7 @@
     {
         const std::lock_guard lock(m_mutex);
         send(m_engine->tick(m_clock.now()));
+        notePlacementVersion();
         events = m_engine->takeEvents();
     }
     notify(events);
@@ -219,6 +222,7 @@
     }
     const time_point now = m_clock.now();
     outcome<fact> published = m_engine->publish(now, std::move(item));
+    notePlacementVersion();
     if (published) {
         send(m_engine->pushNews(now));
     }
--- a/peer/gossip_service.h
+++ b/peer/gossip_service.h
@@ -44,6 +44,8 @@
     std::vector<fact> facts() const;
     /** This node's own record with its bound address. */
     member self() const;
+    /** See gossip_engine::placementVersion; read without waiting for the engine. */
+    std::uint64_t placementVersion() const { return m_placementVersion; }
     /** Announces the configuration version of this node; lower ones are ignored. */
     void setConfigVersion(config_version version);
     /** Peer addresses from the platform's VM list. */
@@ -62,6 +64,7 @@
     void flush();
     void send(const std::vector<outgoing_gossip> &datagrams);
     void notify(const gossip_events &events);
+    void notePlacementVersion() { m_placementVersion = m_engine->placementVersion(); }
 
     gossip_service_settings m_settings;
     gossip_callbacks m_callbacks;
@@ -77,6 +80,7 @@
     mutable std::mutex m_mutex; ///< Guards the engine.
     std::optional<gossip_engine> m_engine;
     std::thread m_thread;
+    std::atomic<std::uint64_t> m_placementVersion{0};
     std::atomic<bool> m_stopping{false};
     std::atomic<std::uint64_t> m_datagramsSent{0};
     std::atomic<std::uint64_t> m_bytesSent{0};
--- a/policy/fact_table.cpp
+++ b/policy/fact_table.cpp
@@ -57,7 +57,9 @@
     const auto held = m_entries.find(item.key);
     if (held != m_entries.end() && !held->second.expired) {
         toggle(held->second.item);
+        ++m_versions[held->second.item.kind];
     }
+    ++m_versions[item.kind];
     m_entries[item.key] = entry{item, now + item.lifetime, false};
     toggle(item);
     if (passOn) {
@@ -74,6 +76,7 @@
         if (!held.expired && held.expires <= now) {
             held.expired = true;
             toggle(held.item);
+            ++m_versions[held.item.kind];
             m_news.remove(it->first);
         }
         it = held.expires + EXPIRED_RETENTION <= now ? m_entries.erase(it) : std::next(it);
@@ -129,6 +132,12 @@
     return withTimeLeft(now, held->second);
 }
 
+std::uint64_t fact_table::versionOf(fact_kind kind) const
+{
+    const auto found = m_versions.find(kind);
+    return found == m_versions.end() ? 0 : found->second;
+}
+
 std::vector<fact> fact_table::all(time_point now) const
 {
     std::vector<fact> result;
--- a/policy/fact_table.h
+++ b/policy/fact_table.h
@@ -52,6 +52,8 @@
 
     std::optional<fact> find(time_point now, const std::string &key) const;
     std::vector<fact> all(time_point now) const;
+    /** Changes whenever a fact of the kind is stored, replaced or found expired by tick(). */
+    std::uint64_t versionOf(fact_kind kind) const;
 
     bool hasNews() const { return !m_news.empty(); }
     const bucket_digest &digest() const { return m_digest; }
@@ -72,6 +74,7 @@
     std::map<std::string, entry, std::less<>> m_entries;
     broadcast_queue m_news;
     bucket_digest m_digest;
+    std::map<fact_kind, std::uint64_t> m_versions;
     std::uint64_t m_sequence = 0;
 };
 
--- a/policy/gossip_engine.h
+++ b/policy/gossip_engine.h
@@ -39,6 +39,8 @@
     membership &nodes() { return m_membership; }
     const membership &nodes() const { return m_membership; }
     const fact_table &facts() const { return m_facts; }
+    /** Changes with the live members and with the nodes that drain, thus with all that placement depends on. */
+    std::uint64_t placementVersion() const { return m_membership.liveVersion() + m_facts.versionOf(fact_kind::draining_node); }
     gossip_events takeEvents();
 
 private:
--- a/policy/hop_question.h
+++ b/policy/hop_question.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <set>
-#include <vector>
+#include <span>
 
 #include "core/ids.h"
 #include "policy/permit_record.h"
@@ -18,8 +18,8 @@
     bool forwarded = false; ///< The query came from another node.
     permit_share usable; ///< This node's usable share.
     const permit_record *record = nullptr; ///< The newest record that this node has seen; may be null.
-    std::vector<placement_member> placed; ///< Where the share should be by placement; used while no holder is known.
-    std::vector<placement_member> live; ///< Live nodes that this node can forward to.
+    std::span<const placement_member> placed; ///< Where the share should be by placement; used while no holder is known.
+    std::span<const placement_member> live; ///< Live nodes that this node can forward to.
     std::set<node_id> avoided; ///< Nodes that did not answer a forwarded query just now.
 };
 
--- a/policy/member_list.cpp
+++ b/policy/member_list.cpp
@@ -148,6 +148,7 @@
 
 void member_list::addLive(record &target)
 {
+    ++m_liveVersion;
     target.livePosition = m_live.size();
     m_live.push_back(target.data.id);
     ++m_liveAddresses[target.data.peerAddress];
@@ -156,6 +157,7 @@
 
 void member_list::removeLive(record &target)
 {
+    ++m_liveVersion;
     m_digest.toggle(target.data.id.str(), target.data.started.value(), 0);
     const auto address = m_liveAddresses.find(target.data.peerAddress);
     if (--address->second == 0) {
--- a/policy/member_list.h
+++ b/policy/member_list.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <random>
@@ -56,6 +57,8 @@
     std::vector<node_id> dead() const;
     /** All known members, tombstones included. */
     std::vector<member> all() const;
+    /** Changes whenever a member becomes live, restarts with another record or is no longer live; not with suspicions or configuration versions. */
+    std::uint64_t liveVersion() const { return m_liveVersion; }
     bool knowsLiveAddress(const std::string &peerAddress) const { return m_liveAddresses.count(peerAddress) > 0; }
 
     /** Up to @p count different random live members without @p excluded. */
@@ -90,6 +93,7 @@
     node_id m_self;
     std::map<node_id, record> m_records;
     std::vector<node_id> m_live;
+    std::uint64_t m_liveVersion = 0;
     std::map<std::string, int> m_liveAddresses;
     std::set<node_id> m_suspects;
     broadcast_queue m_news;
--- a/policy/membership.h
+++ b/policy/membership.h
@@ -57,6 +57,8 @@
     const member &self() const { return m_self; }
     const member_list &others() const { return m_list; }
     std::vector<node_id> randomLive(std::size_t count, const node_id &excluded = node_id()) { return m_list.randomLive(m_random, count, excluded); }
+    /** Like member_list::liveVersion, with this node included. */
+    std::uint64_t liveVersion() const { return m_list.liveVersion() + (m_self.state == member_state::left ? 1 : 0); }
     int healthPenalty() const { return m_healthPenalty; }
     int sendLimit() const { return broadcast_queue::sendLimit(m_list.live().size()); }
     std::size_t randomBucket() { return m_random() % bucket_digest::BUCKETS; }
--- a/tests/policy/test_fact_table.cpp
+++ b/tests/policy/test_fact_table.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 #include "policy/fact_table.h"
 
@@ -64,6 +65,36 @@
     BOOST_TEST(table.find(START, "k")->payload == (sample.isNews ? "new" : "old"));
 }
 
+// Guards against results that are kept although the facts they were computed from were added, replaced or expired, also by one of another kind.
+BOOST_AUTO_TEST_CASE(versionOfAKindFollowsItsFacts)
+{
+    constexpr auto KIND = fact_kind::draining_node;
+    const auto ofKind = [](fact_kind kind, std::uint64_t sequence) {
+        fact item = makeFact("k", 10, sequence, "p", seconds(10));
+        item.kind = kind;
+        return item;
+    };
+    fact_table table;
+    std::uint64_t version = table.versionOf(KIND);
+    const auto changed = [&] { return std::exchange(version, table.versionOf(KIND)) != version; };
+    BOOST_REQUIRE(table.merge(START, ofKind(fact_kind::bad_version, 1)));
+    BOOST_TEST(!changed());
+    BOOST_REQUIRE(table.merge(START, ofKind(KIND, 2)));
+    BOOST_TEST(changed());
+    BOOST_REQUIRE(!table.merge(START, ofKind(KIND, 2)));
+    BOOST_TEST(!changed());
+    BOOST_REQUIRE(table.merge(START, ofKind(fact_kind::bad_version, 3)));
+    BOOST_TEST(changed());
+    BOOST_REQUIRE(table.merge(START, ofKind(KIND, 4)));
+    BOOST_TEST(changed());
+    table.tick(START + seconds(9));
+    BOOST_TEST(!changed());
+    table.tick(START + seconds(10));
+    BOOST_TEST(changed());
+    table.tick(START + seconds(11));
+    BOOST_TEST(!changed());
+}
+
 // Guards against facts that live longer by being passed on, and against expired ones that come back from a peer whose clock stood still.
 BOOST_AUTO_TEST_CASE(passingOnDoesNotProlongFacts)
 {
--- a/tests/policy/test_hop_router.cpp
+++ b/tests/policy/test_hop_router.cpp
@@ -35,17 +35,17 @@
     {"nobody left", 0, false, true, {node_id("a"), node_id("b"), node_id("d")}, hop_kind::refuse, ""},
 };
 
+placement_member member(const char *name)
+{
+    return {node_id(name), incarnation(1), failure_domain_id(name), 1.0, name};
+}
+
+const std::vector<placement_member> PLACED{member("d"), member("self")};
+const std::vector<placement_member> LIVE{member("a"), member("b"), member("c"), member("d"), member("self")};
+
 hop_question questionOf(const hop_case &row, const permit_record &record)
 {
-    const auto member = [](const char *name) { return placement_member{node_id(name), incarnation(1), failure_domain_id(name), 1.0, name}; };
-    return {node_id("self"),
-            request_id("r-1"),
-            row.forwarded,
-            {row.usableSlots, 5},
-            row.recordKnown ? &record : nullptr,
-            {member("d"), member("self")},
-            {member("a"), member("b"), member("c"), member("d"), member("self")},
-            row.avoided};
+    return {node_id("self"), request_id("r-1"), row.forwarded, {row.usableSlots, 5}, row.recordKnown ? &record : nullptr, PLACED, LIVE, row.avoided};
 }
 
 // "c" is a standby, "dead" is not live, and this node's own share is not usable.
--- a/tests/policy/test_member_list.cpp
+++ b/tests/policy/test_member_list.cpp
@@ -80,6 +80,19 @@
     BOOST_TEST((list.digest().total() != 0) == isLive(sample.state));
 }
 
+// Guards against placements that are kept although the live members changed, and against placements that are computed anew for each suspicion.
+BOOST_DATA_TEST_CASE(liveVersionFollowsTheLiveMembers, CLAIM_CASES)
+{
+    member_list list(membership_settings(), node_id("self"));
+    list.apply(START, claim(sample.held.subject.started.value(), ALIVE), NEWS, node_id("a"));
+    list.apply(START, sample.held, NEWS, node_id("a"));
+    const member before = *list.find(node_id("m"));
+    const std::uint64_t version = list.liveVersion();
+    list.apply(START, sample.next, sample.source, node_id("b"));
+    const bool sameLive = isLive(before.state) == isLive(sample.state) && (!isLive(sample.state) || before.started.value() == sample.started);
+    BOOST_TEST((list.liveVersion() == version) == sameLive);
+}
+
 // Guards against suspicions that never end, end before a process that is stopped for 3 s can refute, or start anew with each accuser.
 BOOST_AUTO_TEST_CASE(suspicionsRunOut)
 {
