Build the read of a server's status in one place

Cause: crash_detector and topology_controller each built the same request with the same time-out.

Change: makeStatusRead in node/status_read. No change of behaviour.

--- a/node/crash_detector.cpp
+++ b/node/crash_detector.cpp
@@ -1,20 +1,13 @@
 #include "node/crash_detector.h"
 
-#include <chrono>
-
 #include "core/json.h"
 #include "core/logger.h"
 #include "http/fan_out_engine.h"
 #include "node/quarantine_controller.h"
+#include "node/status_read.h"
 
 namespace snipefall {
 
-namespace {
-
-constexpr std::chrono::milliseconds STATUS_TIMEOUT{1000};
-
-}
-
 crash_detector::crash_detector(fan_out_engine &engine, quarantine_controller &quarantine, identity_function identify)
     : m_engine(engine)
     , m_quarantine(quarantine)
@@ -35,13 +28,7 @@
     const server_identity before = m_identify(server);
     // Idle connections to a crashed process would only show that it is gone.
     m_engine.closeIdle(before.address);
-    sub_request read;
-    read.method = "GET";
-    read.address = before.address;
-    read.target = "/status";
-    read.deadline = std::chrono::steady_clock::now() + STATUS_TIMEOUT;
-    read.progressTimeout = STATUS_TIMEOUT;
-    m_engine.submit(std::move(read), [this, server, before](const sub_response &status) { decide(server, before, status); });
+    m_engine.submit(makeStatusRead(before.address), [this, server, before](const sub_response &status) { decide(server, before, status); });
 }
 
 void crash_detector::decide(const backend_server_id &server, const server_identity &before, const sub_response &status)
--- /dev/null
+++ b/node/status_read.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include <string>
+
+#include "http/sub_request.h"
+
+namespace snipefall {
+
+/** A read of the status of the backend server at @p address ("ip:port"), with a deadline of one second from now. */
+sub_request makeStatusRead(const std::string &address);
+
+} // namespace snipefall
--- a/node/topology_controller.cpp
+++ b/node/topology_controller.cpp
@@ -1,20 +1,13 @@
 #include "node/topology_controller.h"
 
-#include <chrono>
-
 #include "core/json.h"
 #include "core/logger.h"
 #include "http/fan_out_engine.h"
 #include "node/status_parser.h"
+#include "node/status_read.h"
 
 namespace snipefall {
 
-namespace {
-
-constexpr std::chrono::milliseconds STATUS_TIMEOUT{1000};
-
-}
-
 topology_controller::topology_controller(topology_board &board, fan_out_engine &engine, list_function listVms)
     : m_board(board)
     , m_engine(engine)
@@ -131,13 +124,7 @@
             return;
         }
     }
-    sub_request request;
-    request.method = "GET";
-    request.address = server.address;
-    request.target = "/status";
-    request.deadline = std::chrono::steady_clock::now() + STATUS_TIMEOUT;
-    request.progressTimeout = STATUS_TIMEOUT;
-    m_engine.submit(std::move(request), [this, id = server.id](const sub_response &response) { applyStatus(id, response); });
+    m_engine.submit(makeStatusRead(server.address), [this, id = server.id](const sub_response &response) { applyStatus(id, response); });
 }
 
 void topology_controller::applyStatus(const backend_server_id &id, const sub_response &response)
