--- a/tests/node/load_thread.h
+++ b/tests/node/load_thread.h
@@ -35,6 +35,13 @@
         }
     }
 
+    /** Waits for more than @p count further answers with status 200; false when they take longer than test_site::waitFor allows. */
+    bool waitForAnswers(int count = 20) const
+    {
+        const int before = answered;
+        return test_site::waitFor([&] { return answered > before + count; });
+    }
+
     std::atomic<int> answered{0};
     std::atomic<int> refused{0};
     std::atomic<int> cut{0};
--- a/tests/node/test_connections.cpp
+++ b/tests/node/test_connections.cpp
@@ -23,12 +23,6 @@
     return site.server(server).state()["requests"].value(what, 0);
 }
 
-bool goesOn(const load_thread &load)
-{
-    const int before = load.answered;
-    return test_site::waitFor([&] { return load.answered > before + 20; });
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(connection_tests)
@@ -42,13 +36,13 @@
     site.startService(2);
     load_thread first(site, "node-1");
     load_thread second(site, "node-2");
-    BOOST_TEST(goesOn(first));
+    BOOST_TEST(first.waitForAnswers());
     site.server("a").control({{"silent", true}});
     if (allServers) {
         site.server("b").control({{"silent", true}});
     }
-    BOOST_TEST(goesOn(first));
-    BOOST_TEST(goesOn(second));
+    BOOST_TEST(first.waitForAnswers());
+    BOOST_TEST(second.waitForAnswers());
     // The unanswered requests are counted apart, so growth shows answers on new connections.
     const int before = counted(site, "a", "/shards/query");
     BOOST_TEST(test_site::waitFor([&] { return counted(site, "a", "/shards/query") > before + 100; }));
@@ -73,9 +67,9 @@
     site.addServer("b", "domain-2");
     site.startService(2);
     load_thread load(site, "node-1");
-    BOOST_TEST(goesOn(load));
+    BOOST_TEST(load.waitForAnswers());
     site.server("a").control({{"freeze", true}});
-    BOOST_TEST(goesOn(load));
+    BOOST_TEST(load.waitForAnswers());
     site.server("a").control({{"freeze", false}});
     const int before = counted(site, "a", "/shards/query");
     BOOST_TEST(test_site::waitFor([&] { return counted(site, "a", "/shards/query") > before + 100; }));
@@ -99,7 +93,7 @@
     for (int i = 0; i < 6; ++i) {
         load.push_back(std::make_unique<load_thread>(site, i % 2 == 0 ? "node-1" : "node-2"));
     }
-    BOOST_TEST(goesOn(*load[0]));
+    BOOST_TEST(load[0]->waitForAnswers());
     site.server("a").control({{"misleading_health", true}, {"health", "healthy"}});
     const int shedBefore = counted(site, "a", "shed");
     const int requestsBefore = counted(site, "a", "/shards/query");
@@ -109,7 +103,7 @@
     const int requests = counted(site, "a", "/shards/query") - requestsBefore;
     BOOST_TEST_MESSAGE("shed " << shed << " of " << requests << " requests of the cold server");
     for (const auto &caller : load) {
-        BOOST_TEST(goesOn(*caller));
+        BOOST_TEST(caller->waitForAnswers());
     }
     for (const auto &caller : load) {
         caller->stop();
@@ -152,7 +146,7 @@
         load[killed] = std::make_unique<load_thread>(site, killed);
     }
     for (const auto &[node, caller] : load) {
-        BOOST_TEST(goesOn(*caller));
+        BOOST_TEST(caller->waitForAnswers());
     }
     for (const auto &[node, caller] : load) {
         caller->stop();
--- a/tests/node/test_whole_path.cpp
+++ b/tests/node/test_whole_path.cpp
@@ -161,8 +161,7 @@
     site.process(holder).signal(sample);
     BOOST_TEST(test_site::waitFor([&] { return site.permitsOf(others[0]) + site.permitsOf(others[1]) == 2; }));
     site.process(holder).signal(SIGCONT);
-    const int answered = load.answered;
-    BOOST_TEST(test_site::waitFor([&] { return load.answered > answered + 20; }));
+    BOOST_TEST(load.waitForAnswers());
     load.stop();
     BOOST_TEST(load.falseLabels == 0);
     for (const char *server : {"a", "b"}) {
@@ -254,8 +253,7 @@
     std::this_thread::sleep_for(std::chrono::seconds(3));
     const auto requests = [&] { return site.server("a").state()["requests"].value("/shards/query", 0); };
     const int before = requests();
-    const int answered = load.answered;
-    BOOST_TEST(test_site::waitFor([&] { return load.answered > answered + 20; }));
+    BOOST_TEST(load.waitForAnswers());
     BOOST_TEST(requests() == before);
     load.stop();
     secondLoad.stop();
