Put the comment on shared reads above its constant

Cause: the comment on SHARED_READS_PER_SECOND stood above SHARED_ACCOUNT_WRITES_PER_SECOND, which has a comment of its own.

Change: moved; no code changed.

--- a/node/node_parts.cpp
+++ b/node/node_parts.cpp
@@ -19,10 +19,10 @@
 constexpr duration LEAVING_SERVER_LIFETIME = std::chrono::minutes(10);
 // Nodes that don't watch the platform for their failure domain read the log this much less often; peers tell them of changes.
 constexpr int CONFIGURATION_IDLE_FACTOR = 10;
-// What all nodes together read of the VM list, and of the moves in which they have no part. At 470 nodes with two reads a second each, these two would take
-// 1,880 of the platform's 2,000 reads/s.
 // All nodes together; the rest of the 300 writes/s that the platform sustains is left to claims, permits and moves.
 constexpr double SHARED_ACCOUNT_WRITES_PER_SECOND = 100.0;
+// What all nodes together read of the VM list, and of the moves in which they have no part. At 470 nodes with two reads a second each, these two would take
+// 1,880 of the platform's 2,000 reads/s.
 constexpr double SHARED_READS_PER_SECOND = 100;
 // Less than the interval of the steps, so that a step that comes a little early is not left out.
 constexpr duration STEP_TOLERANCE = std::chrono::milliseconds(50);
