--- a/node/node_parts.h
+++ b/node/node_parts.h
@@ -24,6 +24,7 @@
 #include "node/operator_api.h"
 #include "node/peer_controller.h"
 #include "node/permit_controller.h"
+#include "node/placement_cache.h"
 #include "node/quarantine_controller.h"
 #include "node/query_environment.h"
 #include "node/query_service.h"
@@ -75,6 +76,7 @@
     account_keeper accounts;
     configuration_controller configurations;
     peer_controller peers;
+    placement_cache placements;
     quarantine_controller quarantine;
     permit_controller permits;
     move_manager moves;
@@ -101,7 +103,6 @@
     warm_up_state warmUp(const service_id &service, const version_id &version);
     std::vector<std::string> entriesOf(const service_id &service);
     bool usesService(const service_id &service);
-    void addMoveRoutes();
     void recordEvents();
     /** Whether a read that all nodes make is due again, so that all of them together keep to a fixed rate. */
     bool sharedReadDue(time_point last, duration shortest) const;
