Answer a query with its trace if its body asks for it

Cause: docs/design.md lists the trace of one query under "Not built".

The header Snipefall-Hop now carries the id of the forwarding node instead of "1"; nodes only checked that it is not empty, so old and new nodes work together, and a trace behind an old node names "1".

--- a/node/hop_forwarder.cpp
+++ b/node/hop_forwarder.cpp
@@ -7,12 +7,12 @@
 #include "core/json.h"
 #include "http/http_call.h"
 #include "node/api_responses.h"
+#include "node/hop_header.h"
 
 namespace snipefall {
 
 namespace {
 
-constexpr const char *HOP_HEADER = "Snipefall-Hop";
 constexpr long CONNECT_TIMEOUT_MS = 300;
 // While permits change hands, for example after a node joined, for a moment none of the known holders has any.
 constexpr duration HAND_OVER_WAIT = std::chrono::seconds(1);
@@ -28,8 +28,9 @@
 
 } // namespace
 
-hop_forwarder::hop_forwarder(route_function route, deadline_function deadline, account_function account)
-    : m_route(std::move(route))
+hop_forwarder::hop_forwarder(node_id self, route_function route, deadline_function deadline, account_function account)
+    : m_self(std::move(self))
+    , m_route(std::move(route))
     , m_deadline(std::move(deadline))
     , m_account(std::move(account))
 {
@@ -61,7 +62,7 @@
     call.body = request.body;
     call.connectTimeoutMs = CONNECT_TIMEOUT_MS;
     call.timeoutMs = timeoutOf(service, request);
-    call.headers = {{HOP_HEADER, "1"}, {"Content-Type", "application/json"}};
+    call.headers = {{HOP_HEADER, m_self.str()}, {"Content-Type", "application/json"}};
     for (const char *name : {"Request-Id", "Caller", "Traceparent"}) {
         const std::string value = request.header(name);
         if (!value.empty()) {
--- a/node/hop_forwarder.h
+++ b/node/hop_forwarder.h
@@ -30,7 +30,7 @@
     /** Told of the refusals that this node itself answers, which no other node accounts. */
     using account_function = std::function<void(const answer_record &)>;
 
-    hop_forwarder(route_function route, deadline_function deadline, account_function account);
+    hop_forwarder(node_id self, route_function route, deadline_function deadline, account_function account);
 
     /** Whether this node has no permits of the service. A request that was passed on once is never passed on again, but refused. */
     bool shouldForward(const service_id &service, const http_request &request) const;
@@ -47,6 +47,7 @@
     long timeoutOf(const service_id &service, const http_request &request) const;
     http_response refuse(answer_record record, answer_outcome outcomeKind, const std::string &message) const;
 
+    const node_id m_self;
     route_function m_route;
     deadline_function m_deadline;
     account_function m_account;
--- a/node/move_manager.cpp
+++ b/node/move_manager.cpp
@@ -259,19 +259,19 @@
     move->facts.push_back(*found);
 }
 
-version_id move_manager::versionFor(const service_id &service, const version_id &configured, const std::string &requestId) const
+version_choice move_manager::chooseVersion(const service_id &service, const version_id &configured, const std::string &requestId) const
 {
     const auto move = m_moves.find(service);
     if (!move || !*move) {
-        return configured;
+        return {configured, version_reason::configured};
     }
     const std::lock_guard lock((*move)->mutex);
     const std::optional<move_record> &record = (*move)->record;
     // An operator who configured a third version after the move has decided anew.
     if (!record || (configured != record->from && configured != record->to)) {
-        return configured;
+        return {configured, version_reason::configured};
     }
-    return (*move)->router.choose(stableHash(requestId), wallClockMs(), configured);
+    return (*move)->router.decide(stableHash(requestId), wallClockMs(), configured);
 }
 
 void move_manager::record(const service_id &service, const version_id &version, sub_answer_sample sample)
--- a/node/move_manager.h
+++ b/node/move_manager.h
@@ -56,7 +56,11 @@
     void detectFaults();
 
     /** The version that serves a query. */
-    version_id versionFor(const service_id &service, const version_id &configured, const std::string &requestId) const;
+    version_choice chooseVersion(const service_id &service, const version_id &configured, const std::string &requestId) const;
+    version_id versionFor(const service_id &service, const version_id &configured, const std::string &requestId) const
+    {
+        return chooseVersion(service, configured, requestId).version;
+    }
     void record(const service_id &service, const version_id &version, sub_answer_sample sample);
     /** Takes a bad_version fact of a peer. */
     void handleFact(const fact &news);
--- a/node/node_parts.cpp
+++ b/node/node_parts.cpp
@@ -81,6 +81,7 @@
     , environment{dispatcher, engine, quarantine, crashes, moves}
     , entries(replica, [this](const service_id &service) { return entriesOf(service); })
     , hops(
+          settings.id,
           [this](const service_id &service, const request_id &request, bool forwarded, const std::set<node_id> &avoided) {
               if (replica.current()->services.count(service) == 0) {
                   // The services answer for unknown names themselves.
@@ -94,7 +95,8 @@
               return found == config->services.end() ? service_settings().deadlineMs : found->second.deadlineMs;
           },
           [this](const answer_record &record) { accounts.add(record); })
-    , queries(fmt::format("{}-{}", settings.id.str(), ownIncarnation.value()),
+    , queries(settings.id,
+              fmt::format("{}-{}", settings.id.str(), ownIncarnation.value()),
               replica,
               topologies,
               environment,
--- a/node/query_runner.cpp
+++ b/node/query_runner.cpp
@@ -64,6 +64,7 @@
     , m_runtime(runtime)
     , m_environment(environment)
     , m_execution(m_task.planned.plan, m_task.options, runtime.budget)
+    , m_trace(m_task.trace)
     , m_bodyStart(fmt::format(R"({{"service":{},"snapshot":{},"query":{},"shard":)",
                               json(m_task.service.str()).dump(),
                               json(m_task.planned.plan->snapshot.str()).dump(),
@@ -76,6 +77,9 @@
     {
         std::unique_lock lock(m_runtime.mutex);
         query_actions actions;
+        if (m_trace) {
+            m_trace->beginRun(m_task.planned.plan);
+        }
         m_execution.start(system_clock().now(), actions);
         apply(actions, lock);
     }
@@ -142,11 +146,19 @@
     std::unique_lock lock(m_runtime.mutex);
     query_actions actions;
     if (answer) {
-        if (const std::optional<duration> latency = m_execution.subAnswer(std::move(*answer), now, actions)) {
+        const std::optional<duration> latency = m_execution.subAnswer(std::move(*answer), now, actions);
+        if (latency) {
             recordLatency(*latency, now);
         }
+        if (m_trace) {
+            m_trace->answered(sub, latency.has_value(), now);
+        }
     } else {
-        m_execution.subFailure(sub, failureOf(response), now, actions);
+        const shard_failure kind = failureOf(response);
+        m_execution.subFailure(sub, kind, now, actions);
+        if (m_trace) {
+            m_trace->failed(sub, kind, now);
+        }
     }
     apply(actions, lock);
 }
@@ -197,6 +209,9 @@
         actions.finish.reset();
         m_execution.abandon(now, actions);
     }
+    if (m_trace) {
+        m_trace->record(actions, now);
+    }
     for (const cancel_action &cancel : actions.cancels) {
         recordLatency(cancel.age, now);
     }
@@ -205,6 +220,9 @@
         ++(send.extra ? m_extraSends : m_firstSends);
     }
     const bool ended = m_execution.ended();
+    if (ended) {
+        m_trace.reset();
+    }
     const query_result counts{std::nullopt, m_firstSends, m_extraSends};
     const time_point nextTick = m_execution.nextTick();
     const bool schedule = !ended && nextTick < m_scheduledTick;
@@ -242,6 +260,9 @@
         std::unique_lock lock(m_runtime.mutex);
         --(send.extra ? m_extraSends : m_firstSends);
         query_actions actions;
+        if (m_trace) {
+            m_trace->denied(send.sub);
+        }
         m_execution.permitDenied(send.sub, system_clock().now(), actions);
         started = apply(actions, lock) || started;
     }
--- a/node/query_runner.h
+++ b/node/query_runner.h
@@ -13,6 +13,7 @@
 #include "policy/planned_query.h"
 #include "policy/query_actions.h"
 #include "policy/query_execution.h"
+#include "policy/query_trace.h"
 #include "policy/request_fingerprint.h"
 
 namespace snipefall {
@@ -33,6 +34,7 @@
     query_options options;
     request_fingerprint fingerprint;
     duration versionMedian{}; ///< 0 while it is unknown.
+    std::shared_ptr<query_trace> trace; ///< Empty unless the caller asked for it; shared by all runs of the query.
     std::function<bool(const snapshot_id &)> newerSnapshotExists; ///< Whether a query can start again on a newer snapshot.
 };
 
@@ -76,6 +78,8 @@
     service_runtime &m_runtime;
     query_environment &m_environment;
     query_execution m_execution; ///< Guarded by the runtime's mutex.
+    /** Guarded by the runtime's mutex. Empty without a trace and after the end, when the owner of the task reads it. */
+    std::shared_ptr<query_trace> m_trace;
     const std::string m_bodyStart; ///< The part of a sub-request's body that all of them share, up to the shard's number.
     std::unordered_map<sub_request_id, sub_target> m_targets; ///< Guarded by the runtime's mutex.
     time_point m_scheduledTick = time_point::max(); ///< Guarded by the runtime's mutex.
--- a/node/query_service.cpp
+++ b/node/query_service.cpp
@@ -8,10 +8,12 @@
 #include "core/logger.h"
 #include "node/account_keeper.h"
 #include "node/api_responses.h"
+#include "node/hop_header.h"
 #include "node/move_manager.h"
 #include "node/quarantine_controller.h"
 #include "node/query_environment.h"
 #include "node/query_runner.h"
+#include "node/query_trace_writer.h"
 #include "node/service_runtime.h"
 #include "policy/latency_key.h"
 #include "policy/snapshot_planner.h"
@@ -58,15 +60,18 @@
     std::shared_ptr<const configuration> config;
     std::shared_ptr<service_runtime> runtime;
     time_point received;
+    std::shared_ptr<query_trace_context> trace; ///< Empty unless the caller asked for it.
 };
 
-query_service::query_service(std::string nodeTag,
+query_service::query_service(node_id self,
+                             std::string nodeTag,
                              const configuration_replica &configurations,
                              topology_board &topologies,
                              query_environment &environment,
                              account_keeper &accounts,
                              share_function share)
-    : m_nodeTag(std::move(nodeTag))
+    : m_self(std::move(self))
+    , m_nodeTag(std::move(nodeTag))
     , m_configurations(configurations)
     , m_topologies(topologies)
     , m_environment(environment)
@@ -112,6 +117,10 @@
     if (!deadline.is_number_unsigned() || deadline.get<std::uint64_t>() == 0 || deadline.get<std::uint64_t>() > MAX_DEADLINE_MS) {
         return errorResponse(400, error_code::invalid_argument, "deadline_ms must be an integer from 1 to 60000", run_state::not_run);
     }
+    const json trace = body->value("trace", json(false));
+    if (!trace.is_boolean()) {
+        return errorResponse(400, error_code::invalid_argument, "trace must be true or false", run_state::not_run);
+    }
     query.service = service;
     query.request = record.request;
     query.query = (*body)["query"].dump();
@@ -123,19 +132,32 @@
     if (query.standing == request_standing::quarantined) {
         return errorResponse(422, error_code::quarantined, "requests like this one crashed backend servers", run_state::not_run);
     }
-    query.version = m_environment.moves.versionFor(service, query.settings.version, record.request.str());
+    const version_choice version = m_environment.moves.chooseVersion(service, query.settings.version, record.request.str());
+    query.version = version.version;
     query.runtime = runtimeOf(service, query.settings.maxQueuedQueries);
     record.version = query.version;
-    return runAdmitted(query, record);
+    if (!trace.get<bool>()) {
+        return runAdmitted(query, record);
+    }
+    query.trace = std::make_shared<query_trace_context>(
+        query_trace_context{m_self, request.header(HOP_HEADER), query.received, duration(), version, std::make_shared<query_trace>()});
+    http_response response = runAdmitted(query, record);
+    addTrace(response, *query.trace, system_clock().now());
+    return response;
 }
 
 http_response query_service::runAdmitted(const parsed_query &query, answer_record &record)
 {
     const time_point deadline = query.received + std::chrono::milliseconds(std::min(query.callerDeadlineMs, query.settings.deadlineMs));
-    if (!query.runtime->admission.enter(query.caller, deadline)) {
+    const time_point offered = system_clock().now();
+    const bool admitted = query.runtime->admission.enter(query.caller, deadline);
+    const time_point started = system_clock().now();
+    if (query.trace) {
+        query.trace->admissionWait = started - offered;
+    }
+    if (!admitted) {
         return errorResponse(429, error_code::overloaded, "the service is at its capacity; the query was not started", run_state::not_run);
     }
-    const time_point started = system_clock().now();
     http_response response = runPlanned(query, record);
     query.runtime->admission.leave(query.caller, system_clock().now() - started);
     return response;
@@ -221,6 +243,7 @@
     }
     task.options = makeQueryOptions(query.settings, number, query.callerDeadlineMs, hedgeDelay);
     task.options.canary = query.standing == request_standing::unknown || query.standing == request_standing::suspected;
+    task.trace = query.trace ? query.trace->subRequests : nullptr;
     task.newerSnapshotExists = [this, query](const snapshot_id &pinned) { return !plan(query, pinned, 0).empty(); };
     return task;
 }
--- a/node/query_service.h
+++ b/node/query_service.h
@@ -30,7 +30,8 @@
     /** What this node may use of each backend server of a service at this time. */
     using share_function = std::function<permit_share(const service_id &)>;
 
-    query_service(std::string nodeTag,
+    query_service(node_id self,
+                  std::string nodeTag,
                   const configuration_replica &configurations,
                   topology_board &topologies,
                   query_environment &environment,
@@ -50,6 +51,7 @@
     planned_query plan(const parsed_query &query, const snapshot_id &newerThan, std::uint64_t rotation) const;
     std::shared_ptr<service_runtime> runtimeOf(const service_id &service, std::size_t maxQueued);
 
+    const node_id m_self;
     const std::string m_nodeTag;
     const configuration_replica &m_configurations;
     topology_board &m_topologies;
--- a/policy/version_router.cpp
+++ b/policy/version_router.cpp
@@ -60,26 +60,28 @@
     return found == m_facts.end() ? std::nullopt : std::optional(*found);
 }
 
-version_id version_router::choose(std::uint64_t queryHash, std::uint64_t nowMs, const version_id &configured) const
+version_choice version_router::decide(std::uint64_t queryHash, std::uint64_t nowMs, const version_id &configured) const
 {
     if (!m_record) {
-        return configured;
+        return {configured, version_reason::configured};
     }
     if (stoppedBy()) {
-        return m_record->from;
+        return {m_record->from, version_reason::bad_version};
     }
     switch (outcome(nowMs)) {
     case move_outcome::done:
-        return m_record->to;
+        return {m_record->to, version_reason::move_done};
     case move_outcome::running:
-        return mix(queryHash, m_moveHash) < UINT64_MAX / HASH_SPACE_PARTS * m_record->sharePercent || m_record->sharePercent == HASH_SPACE_PARTS
-            ? m_record->to
-            : m_record->from;
+        if (mix(queryHash, m_moveHash) < UINT64_MAX / HASH_SPACE_PARTS * m_record->sharePercent || m_record->sharePercent == HASH_SPACE_PARTS) {
+            return {m_record->to, version_reason::move_share};
+        }
+        return {m_record->from, version_reason::move_remainder};
     case move_outcome::rolled_back:
+        return {m_record->from, version_reason::rolled_back};
     case move_outcome::not_yet_known:
-        return m_record->from;
+        break;
     }
-    return m_record->from;
+    return {m_record->from, version_reason::not_yet_known};
 }
 
 } // namespace snipefall
--- a/policy/version_router.h
+++ b/policy/version_router.h
@@ -7,6 +7,7 @@
 #include "policy/bad_version_fact.h"
 #include "policy/move_outcome.h"
 #include "policy/move_record.h"
+#include "policy/version_choice.h"
 
 namespace snipefall {
 
@@ -27,7 +28,9 @@
      * @p queryHash is stableHash() of the request id, so that a repeated request meets the same version. A query that the new version serves at one share
      * is served by it at every larger share.
      */
-    version_id choose(std::uint64_t queryHash, std::uint64_t nowMs, const version_id &configured) const;
+    version_id choose(std::uint64_t queryHash, std::uint64_t nowMs, const version_id &configured) const { return decide(queryHash, nowMs, configured).version; }
+    /** As choose(), with the reason. */
+    version_choice decide(std::uint64_t queryHash, std::uint64_t nowMs, const version_id &configured) const;
     move_outcome outcome(std::uint64_t nowMs) const { return moveOutcome(m_record, m_readable, nowMs); }
     /** The fact that stops the current move on this node, if any. */
     std::optional<bad_version_fact> stoppedBy() const;
