--- a/cli/caller_commands.cpp
+++ b/cli/caller_commands.cpp
@@ -4,6 +4,7 @@
 #include "cli/command_results.h"
 #include "cli/commands.h"
 #include "cli/node_client.h"
+#include "cli/trace_renderer.h"
 
 namespace snipefall {
 
@@ -20,6 +21,17 @@
     });
 }
 
+void showTrace(const json &trace)
+{
+    for (const std::string &line : renderTraceHead(trace)) {
+        output_writer::line(line);
+    }
+    output_writer::table(renderTraceRows(trace));
+    for (const std::string &line : renderTraceTimeline(trace)) {
+        output_writer::line(line);
+    }
+}
+
 exit_code runQuery(const command_context &context)
 {
     const outcome<json> query = parseJson(context.values.arguments[1]);
@@ -27,8 +39,12 @@
     if (context.values.integer("deadline-ms") > 0) {
         body["deadline_ms"] = context.values.integer("deadline-ms");
     }
+    if (context.values.flag("trace")) {
+        body["trace"] = true;
+    }
     const std::string target = "/v1/services/" + context.values.arguments[0] + "/query";
-    return showResponse(context.node.call("POST", target, body, context.values.text("request-id")), context.asJson, [](const json &answer) {
+    const outcome<node_response> response = context.node.call("POST", target, body, context.values.text("request-id"));
+    const exit_code code = showResponse(response, context.asJson, [](const json &answer) {
         const json covered = answer.value("coverage", json::object());
         output_writer::line(fmt::format("service {} version {} snapshot {}",
                                         jsonValue<std::string>(answer, "service", ""),
@@ -44,6 +60,11 @@
         }
         output_writer::line(fmt::format("results: {}", answer.value("results", json::array()).size()));
     });
+    // Refusals carry a trace as well, and those of slow queries need it most.
+    if (!context.asJson && response && response->body.is_object() && response->body.contains("trace")) {
+        showTrace(response->body["trace"]);
+    }
+    return code;
 }
 
 } // namespace
@@ -53,6 +74,7 @@
     const std::vector<setting_definition> querySettings = {
         {"deadline-ms", setting_kind::integer, "0", false, 0, 60000, "Time until the answer is needed; 0 means the service's deadline."},
         {"request-id", setting_kind::text, "", false, 0, 0, "Id that appears in logs."},
+        {"trace", setting_kind::flag, "false", false, 0, 0, "Show the sub-requests with their servers, times and outcomes."},
     };
     return {
         {"entries",
@@ -66,7 +88,7 @@
          "SERVICE QUERY",
          2,
          "Run a query and show its coverage.",
-         "snipefall query clerk-desk-01 '{\"menu\":\"tea\"}' --caller-address 10.0.0.1:7001",
+         "snipefall query clerk-desk-01 '{\"menu\":\"tea\"}' --trace --caller-address 10.0.0.1:7001",
          querySettings,
          runQuery},
     };
--- a/scripts/check_operator_pages.py
+++ b/scripts/check_operator_pages.py
@@ -17,7 +17,7 @@
 
 FOLDER = pathlib.Path(__file__).resolve().parent.parent / "docs" / "operators"
 # Each page builds on the state that the pages before it left.
-PAGES = ("deploy.md", "keys_and_tokens.md", "failure_domain.md", "move_version.md", "platform_outage.md", "alarms.md", "upgrade.md")
+PAGES = ("deploy.md", "keys_and_tokens.md", "failure_domain.md", "move_version.md", "platform_outage.md", "alarms.md", "slow_answers.md", "upgrade.md")
 NODES = {"node-1": "domain-a", "node-2": "domain-b", "node-3": "domain-c"}
 BLOCK_TIMEOUT_S = 180
 
