--- a/policy/version_choice.h
+++ b/policy/version_choice.h
@@ -14,7 +14,7 @@
     move_share, ///< The query belongs to the share of the new version.
     move_remainder, ///< The query does not belong to the share of the new version.
     move_done, ///< The move is done.
-    rolled_back, ///< The move is rolled back.
+    rolled_back, ///< The move is rolled back, or its deadline passed before it was done.
     bad_version, ///< This node found or heard of a fault of the new version.
     not_yet_known, ///< The move's record can't be read, and its deadline has passed.
 };
