Refuse JSON texts with more than 100 levels of nesting

Copying, comparing and writing a JSON value recurse once a level. A caller's query is written again right after it is parsed, so that a body of brackets, far below the limit of 1 MiB, overflows the stack and ends the node. In a trial with the library alone and a stack of 8 MiB, writing a value of 50,000 levels worked and one of 100,000 (200 KB of text) ended the program with a segmentation fault. Parsing itself doesn't recurse.

parseJson() now refuses a text beyond 100 levels while it reads, and keeps nothing of it from there on. Checks at each place that copies or writes a value were ruled out, because there are too many of them. Configuration patches keep their own limit of 8 levels.

--- a/core/json.h
+++ b/core/json.h
@@ -14,7 +14,10 @@
 
 using json = nlohmann::json;
 
-/** Parses a JSON text; a malformed text gives invalid_argument. */
+/** Copying, comparing and writing a JSON value recurse once a level, so that a text with more levels could overflow a thread's stack. */
+constexpr int MAX_JSON_DEPTH = 100;
+
+/** Parses a JSON text; a malformed text, or one with more than MAX_JSON_DEPTH nested objects and arrays, gives invalid_argument. */
 outcome<json> parseJson(std::string_view text);
 
 /** The member @p key as T, or @p fallback when it is missing or of another type. */
