Test the parsers of configurations and patches with hostile documents

The parsers met only the malformed documents of their tables. RapidCheck now gives them arbitrary bytes, valid documents with replaced, copied, removed or renamed values, and damaged text: each must give a reason, or a value that reads back as it was written. Each test also fails when only one of the two results occurred.

RapidCheck reads its parameters once a program, so all properties of a program share them: the test of the replica now runs 1,000 times instead of 300, with the same seed. RC_PARAMS in the environment overrides both, which the replica's test did not allow.

--- a/tests/core/test_configuration_replica_state.cpp
+++ b/tests/core/test_configuration_replica_state.cpp
@@ -1,10 +1,9 @@
-#include <cstdlib>
-
 #include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 #include <rapidcheck/state.h>
 
 #include "core/configuration_replica.h"
+#include "tests/parser_properties.h"
 
 using namespace snipefall;
 
@@ -86,7 +85,7 @@
 // Guards against a configuration that reverts or skips a version when deltas are reordered and repeated and stale snapshots arrive between them.
 BOOST_AUTO_TEST_CASE(followsTheOracle)
 {
-    setenv("RC_PARAMS", "seed=20261204 max_success=300", 1);
+    useFixedSeed();
     const bool holds = rc::check("a replica follows the oracle", [] {
         const replica_model start;
         configuration_replica replica;
--- /dev/null
+++ b/tests/parser_properties.h
@@ -0,0 +1,152 @@
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include <rapidcheck.h>
+
+#include "core/json.h"
+
+namespace snipefall {
+
+/** RapidCheck reads its parameters once a program; RC_PARAMS in the environment overrides them. */
+inline void useFixedSeed()
+{
+    setenv("RC_PARAMS", "seed=20261204 max_success=1000", 0);
+}
+
+/** One change: its place, its kind, and the value or byte that it brings. */
+using damage = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
+
+/** Up to @p most changes whose numbers use their whole range from the first run on. */
+inline rc::Gen<std::vector<damage>> damagesOf(std::size_t most)
+{
+    constexpr int FULL_SIZE = 100;
+    const auto number = rc::gen::resize(FULL_SIZE, rc::gen::inRange<std::uint32_t>(0, 1U << 16U));
+    return rc::gen::mapcat(rc::gen::inRange<std::size_t>(0, most + 1),
+                           [number](std::size_t count) { return rc::gen::container<std::vector<damage>>(count, rc::gen::tuple(number, number, number)); });
+}
+
+/** Flips, inserts, cuts or repeats bytes. */
+inline std::string damagedBytes(std::string bytes, const std::vector<damage> &damages)
+{
+    for (const auto &[place, kind, value] : damages) {
+        if (bytes.empty()) {
+            break;
+        }
+        const std::size_t at = place % bytes.size();
+        switch (kind % 4) {
+        case 0:
+            bytes[at] = static_cast<char>(static_cast<unsigned char>(bytes[at]) ^ (1U << (value % 8)));
+            break;
+        case 1:
+            bytes.insert(at, 1, static_cast<char>(value % 256));
+            break;
+        case 2:
+            bytes.erase(at, 1 + value % 8);
+            break;
+        default:
+            bytes.insert(at, bytes.substr(at, value % 32));
+            break;
+        }
+    }
+    return bytes;
+}
+
+/** Pointers to @p root and all values below it. */
+inline std::vector<json *> valuesOf(json &root)
+{
+    std::vector<json *> values{&root};
+    for (std::size_t i = 0; i < values.size(); ++i) {
+        if (!values[i]->is_structured()) {
+            continue;
+        }
+        for (json &child : *values[i]) {
+            values.push_back(&child);
+        }
+    }
+    return values;
+}
+
+/** Replaces, copies, removes or renames values; the result stays a JSON document. */
+inline json damagedDocument(json document, const std::vector<damage> &damages)
+{
+    static const json s_replacements =
+        json::parse(R"([null, true, false, 0, 1, -1, 5, 0.5, 1e308, 4294967295, 4294967296, 18446744073709551615, -9223372036854775808,
+        "", "a", "01", "1\u0000", "\u00e9\ud83d\ude00", [], [0], [[[]]], {}, {"a": 1}, {"": {"": {}}}])");
+    static const std::vector<std::string> s_names{"", "0", "1", "01", "+1", " 1", "1\0x", "-0", "68", "id", "/", "~"};
+    for (const auto &[place, kind, value] : damages) {
+        const std::vector<json *> values = valuesOf(document);
+        json &target = *values[place % values.size()];
+        switch (kind % 4) {
+        case 0:
+            target = s_replacements[value % s_replacements.size()];
+            break;
+        case 1: {
+            json copy = *values[value % values.size()];
+            target = std::move(copy);
+            break;
+        }
+        case 2:
+            if (target.is_structured() && !target.empty()) {
+                target.erase(std::next(target.begin(), value % static_cast<std::uint32_t>(target.size())));
+            }
+            break;
+        default:
+            if (target.is_object() && !target.empty()) {
+                json copy = *std::next(target.begin(), value % static_cast<std::uint32_t>(target.size()));
+                target[s_names[value % s_names.size()]] = std::move(copy);
+            }
+            break;
+        }
+    }
+    return document;
+}
+
+/** Arbitrary bytes, a valid document with damaged values, or its text with damaged bytes. */
+inline rc::Gen<std::string> hostileTexts(const json &valid)
+{
+    const auto documents = rc::gen::map(damagesOf(4), [valid](const std::vector<damage> &damages) { return damagedDocument(valid, damages).dump(); });
+    const auto bytes = rc::gen::map(damagesOf(4), [valid](const std::vector<damage> &damages) { return damagedBytes(valid.dump(), damages); });
+    return rc::gen::weightedOneOf<std::string>({{1, rc::gen::arbitrary<std::string>()}, {6, documents}, {3, bytes}});
+}
+
+/** How often a parser gave a value and a reason, so that a test can show that its property was not empty. */
+struct parse_counts
+{
+    int accepted = 0;
+    int refused = 0;
+
+    bool bothOccurred() const { return accepted > 0 && refused > 0; }
+};
+
+/**
+ * Checks that hostile texts give a reason, or a value that equals itself after it was written and read again.
+ *
+ * @p parse takes a text and gives an outcome, @p write takes the value and gives a text, @p equals compares two values.
+ */
+template <typename Parse, typename Write, typename Equals>
+bool parsesHostileTexts(const std::string &name, const json &valid, Parse parse, Write write, Equals equals, parse_counts &counts)
+{
+    useFixedSeed();
+    return rc::check(name, [&] {
+        const std::string text = *hostileTexts(valid);
+        const auto value = parse(text);
+        if (!value) {
+            ++counts.refused;
+            RC_ASSERT(!value.reason().message.empty());
+            return;
+        }
+        ++counts.accepted;
+        const std::string written = write(*value);
+        const auto again = parse(written);
+        RC_ASSERT(again.hasValue());
+        RC_ASSERT(equals(*again, *value));
+    });
+}
+
+} // namespace snipefall
