Read all JSON from the network through parseJson()

Three places parsed answers of backend servers, other nodes and the platform with the library directly, and so without the limit on nesting. One of them copied and one wrote the parsed value again, which recurse once a level.

The answer to an execution with more than 100 levels is now recorded as run without a result, as one that is no JSON always was.

--- a/node/crash_detector.cpp
+++ b/node/crash_detector.cpp
@@ -48,8 +48,8 @@
 {
     bool crashed = status.status == transport_status::connect_failed || status.status == transport_status::closed;
     if (status.status == transport_status::ok) {
-        const json document = json::parse(status.body, nullptr, false);
-        crashed = jsonValue<std::uint64_t>(document, "started_ms", before.startedMs) != before.startedMs;
+        const outcome<json> document = parseJson(status.body);
+        crashed = document && jsonValue<std::uint64_t>(*document, "started_ms", before.startedMs) != before.startedMs;
     }
     std::vector<request_fingerprint> requests;
     {
--- a/node/execute_service.cpp
+++ b/node/execute_service.cpp
@@ -115,12 +115,12 @@
     switch (entry.state) {
     case claim_state::ran: {
         run.record.outcome = answer_outcome::executed;
-        const json result = entry.resultBody ? json::parse(*entry.resultBody, nullptr, false) : json();
+        const outcome<json> result = parseJson(entry.resultBody.value_or(std::string()));
         return jsonResponse({{"service", run.service.str()},
                              {"request_id", run.request.str()},
                              {"ran", "ran"},
                              {"repeated", true},
-                             {"result", result.is_discarded() ? json() : result},
+                             {"result", result ? *result : json()},
                              {"result_sha256", entry.resultHash}});
     }
     case claim_state::not_run:
--- a/node/hop_forwarder.cpp
+++ b/node/hop_forwarder.cpp
@@ -22,8 +22,11 @@
 
 bool isNoPermits(const http_response &response)
 {
-    const json body = response.status == 503 ? json::parse(response.body, nullptr, false) : json();
-    return body.is_object() && jsonValue<std::string>(body.value("error", json::object()), "code", "") == toString(error_code::no_permits);
+    if (response.status != 503) {
+        return false;
+    }
+    const outcome<json> body = parseJson(response.body);
+    return body && body->is_object() && jsonValue<std::string>(body->value("error", json::object()), "code", "") == toString(error_code::no_permits);
 }
 
 } // namespace
