Write messages, moves and accounts whose texts are no UTF-8

json::dump() throws on invalid UTF-8, and nothing catches it in the threads of the controllers. Two texts of callers can reach such a place: the header Request-Id of an order whose answer was lost, which the account keeps, and a route, which is cut to 40 bytes and so possibly within a character, in the counts and findings of a move. Both were found by reading; the throw is shown on the writers, not with a running node.

These writers now use canonicalText(), which replaces invalid bytes, as the audit log and the report did. Cutting routes at a character was ruled out as the only change, because the request id has the same effect.

--- a/node/account_keeper.cpp
+++ b/node/account_keeper.cpp
@@ -1,6 +1,7 @@
 #include "node/account_keeper.h"
 
 #include "core/clock.h"
+#include "core/configuration_patch.h"
 #include "core/crypto.h"
 #include "core/logger.h"
 
@@ -99,7 +100,7 @@
     for (int attempt = 0; attempt < MAX_SAVE_ATTEMPTS; ++attempt) {
         json accounts = entry.older;
         accounts.push_back(account.toJson());
-        const outcome<object_version> written = m_run.write(keyOf(index), accounts.dump(), entry.stored);
+        const outcome<object_version> written = m_run.write(keyOf(index), canonicalText(accounts), entry.stored);
         if (written) {
             entry.stored = *written;
             return {};
--- a/node/move_manager.cpp
+++ b/node/move_manager.cpp
@@ -206,12 +206,12 @@
 
 outcome<move_record> move_manager::writeRecord(const move_record &record, object_version expected)
 {
-    const outcome<object_version> written = m_platform.write(moveKey(record.service), toJson(record).dump(), expected);
+    const outcome<object_version> written = m_platform.write(moveKey(record.service), canonicalText(toJson(record)), expected);
     if (!written) {
         // Whatever the failure was, the next step reads the record again and decides anew.
         return written.reason();
     }
-    adopt({moveKey(record.service), *written, toJson(record).dump()});
+    adopt({moveKey(record.service), *written, canonicalText(toJson(record))});
     return record;
 }
 
--- a/node/move_messages.cpp
+++ b/node/move_messages.cpp
@@ -1,5 +1,6 @@
 #include "node/move_messages.h"
 
+#include "core/configuration_patch.h"
 #include "core/json.h"
 
 namespace snipefall {
@@ -50,11 +51,10 @@
 
 std::string encodeObservations(const move_observations &observations)
 {
-    return json{{"move_id", observations.moveId},
-                {"share_percent", observations.sharePercent},
-                {"step", toJson(observations.step)},
-                {"recent", toJson(observations.recent)}}
-        .dump();
+    return canonicalText({{"move_id", observations.moveId},
+                          {"share_percent", observations.sharePercent},
+                          {"step", toJson(observations.step)},
+                          {"recent", toJson(observations.recent)}});
 }
 
 outcome<move_observations> decodeObservations(const std::string &payload)
@@ -76,7 +76,7 @@
 
 std::string encodeBadVersion(const bad_version_fact &found)
 {
-    return json{{"service", found.service.str()}, {"version", found.version.str()}, {"move_id", found.moveId}, {"reason", found.reason}}.dump();
+    return canonicalText({{"service", found.service.str()}, {"version", found.version.str()}, {"move_id", found.moveId}, {"reason", found.reason}});
 }
 
 outcome<bad_version_fact> decodeBadVersion(const std::string &payload)
--- a/tests/node/test_account_keeper.cpp
+++ b/tests/node/test_account_keeper.cpp
@@ -127,6 +127,19 @@
     BOOST_TEST(totals.closed == 0U);
 }
 
+// Guards against a node that ends when it saves a request id that a caller sent in bytes that are no UTF-8.
+BOOST_AUTO_TEST_CASE(requestIdsOfAnyBytesAreSaved)
+{
+    memory_object_store store;
+    account_keeper keeper(NODE, incarnation(7), callsOf(store));
+    answer_record record = answerOf("svc");
+    record.outcome = answer_outcome::unknown;
+    record.request = request_id("\xff\xc3");
+    keeper.add(record);
+    BOOST_TEST(keeper.save() == "");
+    BOOST_TEST(totalsOf(store).answers.at(7) == 1U);
+}
+
 // Guards the same under lost answers, late writes and outages together, over restarts.
 BOOST_AUTO_TEST_CASE(faultsTogetherNeverCountTwice)
 {
