--- /dev/null
+++ b/tests/policy/test_record_properties.cpp
@@ -0,0 +1,92 @@
+#include <boost/test/unit_test.hpp>
+
+#include "policy/audit_chain.h"
+#include "policy/move_record.h"
+#include "policy/permit_record.h"
+#include "tests/parser_properties.h"
+#include "tests/policy/move_samples.h"
+
+using namespace snipefall;
+
+namespace {
+
+const json PERMITS = json::parse(R"({"epoch": 4, "ring": [{"node": "n1", "incarnation": 9, "slots": 2, "connections": 4},
+    {"node": "n2", "incarnation": 1, "slots": 0, "connections": 0}, {"node": "n3", "incarnation": 2, "slots": 4294967295, "connections": 1}]})");
+
+outcome<move_record> readMove(const std::string &text)
+{
+    const outcome<json> document = parseJson(text);
+    return document ? parseMoveRecord(*document) : document.reason();
+}
+
+/** Adds a hashed entry with the number after the last one. */
+void addAuditEntry(json &entries, const std::string &previousHash)
+{
+    json entry = {{"id", "n1-" + std::to_string(entries.size())}, {"who", "ana"}, {"what", "patch"}, {"why", "test"}, {"at_ms", 5}, {"from_version", 1}};
+    entry["sequence"] = entries.size() + 1;
+    entry["previous_hash"] = entries.empty() ? previousHash : entries.back()["hash"].get<std::string>();
+    entry["hash"] = auditEntryHash(entry);
+    entries.push_back(std::move(entry));
+}
+
+outcome<json> readAuditEntries(const std::string &text)
+{
+    const outcome<json> document = parseJson(text);
+    if (!document) {
+        return document.reason();
+    }
+    const std::string problem = checkAuditChain(*document, "start");
+    return problem.empty() ? document : failure{error_code::invalid_argument, problem};
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(record_properties)
+
+// Guards against an object of the platform that ends the node, or a permit record that changes when another node writes it.
+BOOST_AUTO_TEST_CASE(permitRecords)
+{
+    parse_counts counts;
+    const auto read = [](const std::string &text) { return permit_record::fromJson(text); };
+    const auto write = [](const permit_record &record) { return record.toJson(); };
+    BOOST_TEST(parsesHostileTexts("a permit record reads back as written", PERMITS, read, write, std::equal_to<>(), counts));
+    BOOST_TEST(counts.bothOccurred());
+}
+
+// Guards against an object of the platform that ends the node, or a move that changes when another node writes it.
+BOOST_AUTO_TEST_CASE(moveRecords)
+{
+    parse_counts counts;
+    const json valid = toJson(sampleMoveAt(move_state::growing, 20, SAMPLE_START_MS + 5000));
+    const auto write = [](const move_record &record) { return toJson(record).dump(); };
+    BOOST_TEST(parsesHostileTexts("a move record reads back as written", valid, readMove, write, std::equal_to<>(), counts));
+    BOOST_TEST(counts.bothOccurred());
+}
+
+// Guards against audit entries that end the node or the command line when they are checked, and against changed entries that pass the check.
+BOOST_AUTO_TEST_CASE(auditEntries)
+{
+    parse_counts counts;
+    json valid = json::array();
+    for (int i = 0; i < 3; ++i) {
+        addAuditEntry(valid, "start");
+    }
+    const auto write = [](const json &entries) { return entries.dump(); };
+    BOOST_TEST(parsesHostileTexts("audit entries read back as written", valid, readAuditEntries, write, std::equal_to<>(), counts));
+    BOOST_TEST(counts.bothOccurred());
+
+    int changedChains = 0;
+    const bool holds = rc::check("no changed chain passes the check", [&] {
+        const json changed = damagedDocument(valid, *damagesOf(3));
+        // A chain that lost entries at its end has no fault of its own; the count of entries shows it.
+        if (!changed.is_array() || changed.size() < valid.size() || changed == valid) {
+            return;
+        }
+        ++changedChains;
+        RC_ASSERT(!checkAuditChain(changed, "start").empty());
+    });
+    BOOST_TEST(changedChains > 0);
+    BOOST_TEST(holds);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
