Refuse other spellings of a bucket in the latency counts of a peer

Buckets were read with strtoul(), which takes "1", "01", "+1", " 1", a negative number that wraps, and "1" followed by a zero byte for the same bucket. Its count was replaced, but both counts were added to the total, so that quantiles of the merged histogram were off.

Only the spelling that toJson() writes is accepted now.

--- a/policy/latency_histogram.cpp
+++ b/policy/latency_histogram.cpp
@@ -81,9 +81,9 @@
     }
     latency_histogram histogram;
     for (const auto &[key, count] : document.items()) {
-        char *end = nullptr;
-        const unsigned long bucket = std::strtoul(key.c_str(), &end, 10);
-        if (key.empty() || *end != '\0' || bucket >= BUCKETS || !count.is_number_unsigned() || count.get<std::uint64_t>() > UINT32_MAX) {
+        const unsigned long bucket = std::strtoul(key.c_str(), nullptr, 10);
+        // Only the one spelling that toJson() writes: "1" and "01" would both add to the total but share one count.
+        if (std::to_string(bucket) != key || bucket >= BUCKETS || !count.is_number_unsigned() || count.get<std::uint64_t>() > UINT32_MAX) {
             return failure{error_code::invalid_argument, "a latency histogram has an unknown bucket or count: " + key};
         }
         histogram.m_counts[bucket] = count.get<std::uint32_t>();
