Keep the zero byte in a damaged member name

The literal was cut at its zero byte, so that the name "1" came twice and the intended one never; clang-tidy found it.

Run: test_core under address,undefined, no errors.

--- a/tests/parser_properties.h
+++ b/tests/parser_properties.h
@@ -78,7 +78,7 @@
     static const json s_replacements =
         json::parse(R"([null, true, false, 0, 1, -1, 5, 0.5, 1e308, 4294967295, 4294967296, 18446744073709551615, -9223372036854775808,
         "", "a", "01", "1\u0000", "\u00e9\ud83d\ude00", [], [0], [[[]]], {}, {"a": 1}, {"": {"": {}}}])");
-    static const std::vector<std::string> s_names{"", "0", "1", "01", "+1", " 1", "1\0x", "-0", "68", "id", "/", "~"};
+    static const std::vector<std::string> s_names{"", "0", "1", "01", "+1", " 1", std::string("1\0x", 3), "-0", "68", "id", "/", "~"};
     for (const auto &[place, kind, value] : damages) {
         const std::vector<json *> values = valuesOf(document);
         json &target = *values[place % values.size()];
