--- a/tests/node/test_site.h
+++ b/tests/node/test_site.h
@@ -34,6 +34,8 @@
         /** The member "ran" of a refusal, or an empty string. */
         std::string ran() const { return body.is_object() ? jsonValue<std::string>(body.value("error", json::object()), "ran", "") : ""; }
         bool repeated() const { return jsonValue<bool>(body, "repeated", false); }
+        /** Whether the answer to an order rests on its claim. Without permits, a free slot or the platform, a node refuses only this submission. */
+        bool restsOnClaim() const { return status == 200 || ran() == "unknown" || body.dump().find("send it with a new id") != std::string::npos; }
     };
 
     test_site();
