Refuse an order whose claim arrives after its deadline

Cause: with a platform whose calls take 1.5 s, the claim of an order arrives after the deadline of 2 s. The order was still sent to a backend server with a time-out of 1 ms, so it ran and its caller was told "unknown".

Ruled out: a false "not run" (none was seen); a longer time-out for the run, since the caller and the forwarding node have given up by then.

Change: execute_service records such a claim as not run and refuses the order with 504 and "not_run". A node that forwards may say "unknown", because it stops waiting one second after the deadline.

--- a/node/execute_service.cpp
+++ b/node/execute_service.cpp
@@ -100,6 +100,13 @@
         return errorResponse(429, error_code::overloaded, "no backend server had a free slot in time", run_state::not_run);
     }
     const claim_result claim = m_claims.claim(run.service, run.request);
+    if (claim.status == claim_result::kind::claimed && system_clock().now() >= run.deadline) {
+        // With no time left the backend server's answer would be given up at once, and the order would run without anybody knowing.
+        m_environment.dispatcher.release(slot->server.id, slot->slot, {server_answer_kind::cancelled, {}, {}});
+        m_claims.record(run.service, run.request, claim.fencingToken, claim_state::not_run, "");
+        return errorResponse(
+            504, error_code::deadline_exceeded, "the platform answered the claim after the deadline; send it with a new id", run_state::not_run);
+    }
     if (claim.status == claim_result::kind::claimed) {
         return runClaimed(run, claim.fencingToken, std::move(*slot));
     }
