--- a/node/query_service.cpp
+++ b/node/query_service.cpp
@@ -185,6 +185,10 @@
             return makeAnswer(query, *result.outcome, record);
         }
         task = makeTask(query, record.snapshot);
+        if (task.planned.empty()) {
+            record.outcome = answer_outcome::failed;
+            return errorResponse(503, error_code::unavailable, "no snapshot is left to restart the query on", run_state::ran);
+        }
         task.options.restarted = true;
         task.options.restartsLeft = MAX_RESTARTS - std::min(MAX_RESTARTS, restarts + 1);
     }
@@ -232,7 +236,7 @@
     task.query = query.query;
     task.fingerprint = query.fingerprint;
     const query_number number(++m_lastQuery);
-    task.planned = plan(query, newerThan, number.value());
+    task.planned = plan(query, newerThan, number.value(), newerThan.empty() ? planQuery : planRestart);
     duration hedgeDelay = FALLBACK_HEDGE_DELAY;
     {
         const std::lock_guard lock(query.runtime->mutex);
@@ -244,11 +248,11 @@
     task.options = makeQueryOptions(query.settings, number, query.callerDeadlineMs, hedgeDelay);
     task.options.canary = query.standing == request_standing::unknown || query.standing == request_standing::suspected;
     task.trace = query.trace ? query.trace->subRequests : nullptr;
-    task.newerSnapshotExists = [this, query](const snapshot_id &pinned) { return !plan(query, pinned, 0).empty(); };
+    task.newerSnapshotExists = [this, query](const snapshot_id &pinned) { return !plan(query, pinned, 0, planQuery).empty(); };
     return task;
 }
 
-planned_query query_service::plan(const parsed_query &query, const snapshot_id &newerThan, std::uint64_t rotation) const
+planned_query query_service::plan(const parsed_query &query, const snapshot_id &newerThan, std::uint64_t rotation, plan_function *planner) const
 {
     const auto topology = m_topologies.find(query.service);
     if (!topology || !*topology) {
@@ -259,7 +263,7 @@
     limits.domainsOut = &query.config->domainsOut;
     limits.newerThan = newerThan;
     limits.rotation = rotation;
-    return planQuery((*topology)->servers, limits);
+    return planner((*topology)->servers, limits);
 }
 
 std::shared_ptr<service_runtime> query_service::runtimeOf(const service_id &service, std::size_t maxQueued)
--- a/node/query_service.h
+++ b/node/query_service.h
@@ -20,6 +20,7 @@
 class configuration_replica;
 struct query_environment;
 struct query_outcome;
+struct planning_limits;
 struct query_task;
 struct service_runtime;
 
@@ -48,7 +49,8 @@
     http_response runPlanned(const parsed_query &query, answer_record &record);
     http_response makeAnswer(const parsed_query &query, const query_outcome &ended, answer_record &record) const;
     query_task makeTask(const parsed_query &query, const snapshot_id &newerThan);
-    planned_query plan(const parsed_query &query, const snapshot_id &newerThan, std::uint64_t rotation) const;
+    using plan_function = planned_query(const std::vector<backend_server> &servers, const planning_limits &limits);
+    planned_query plan(const parsed_query &query, const snapshot_id &newerThan, std::uint64_t rotation, plan_function *planner) const;
     std::shared_ptr<service_runtime> runtimeOf(const service_id &service, std::size_t maxQueued);
 
     const node_id m_self;
--- a/policy/move_record.cpp
+++ b/policy/move_record.cpp
@@ -75,6 +75,9 @@
     if (record.deadlineMs < record.startedMs || record.deadlineMs - record.startedMs < MIN_MOVE_MS) {
         errors.push_back(fmt::format("deadline_ms: {} must be at least {} ms after the start at {}", record.deadlineMs, MIN_MOVE_MS, record.startedMs));
     }
+    if (record.observationMs > MAX_OBSERVATION_MS) {
+        errors.push_back(fmt::format("observation_ms: {} must be at most {}", record.observationMs, MAX_OBSERVATION_MS));
+    }
     checkState(record, errors);
     checkHistory(record, errors);
     if (!errors.empty()) {
--- a/policy/move_record.h
+++ b/policy/move_record.h
@@ -16,6 +16,8 @@
 constexpr std::uint32_t MAX_FIRST_SHARE_PERCENT = 5;
 /** A move needs time for at least one second a step. */
 constexpr std::uint64_t MIN_MOVE_MS = 10'000;
+/** 30 days; no other move of the service may start before the observation has ended. */
+constexpr std::uint64_t MAX_OBSERVATION_MS = 30ULL * 24 * 3600 * 1000;
 
 /** The value of the object moves/<service>. All times are wall clock milliseconds. */
 struct move_record
--- a/policy/snapshot_planner.cpp
+++ b/policy/snapshot_planner.cpp
@@ -105,4 +105,15 @@
     return planned;
 }
 
+planned_query planRestart(const std::vector<backend_server> &servers, const planning_limits &limits)
+{
+    planned_query planned = planQuery(servers, limits);
+    if (!planned.empty()) {
+        return planned;
+    }
+    planning_limits anySnapshot = limits;
+    anySnapshot.newerThan = snapshot_id();
+    return planQuery(servers, anySnapshot);
+}
+
 } // namespace snipefall
--- a/policy/snapshot_planner.h
+++ b/policy/snapshot_planner.h
@@ -25,4 +25,7 @@
  */
 planned_query planQuery(const std::vector<backend_server> &servers, const planning_limits &limits);
 
+/** Plans a restart: at a snapshot newer than limits.newerThan or, when none is held any more, at the best one there is. */
+planned_query planRestart(const std::vector<backend_server> &servers, const planning_limits &limits);
+
 } // namespace snipefall
--- a/tests/policy/test_move_controller.cpp
+++ b/tests/policy/test_move_controller.cpp
@@ -102,6 +102,7 @@
     {"no author", R"({"author":""})", "author:"},
     {"deadline before start", R"({"deadline_ms":5})", "deadline_ms: 5"},
     {"start that overflows", R"({"started_ms":18446744073709551615})", "deadline_ms:"},
+    {"observation that overflows", R"({"observation_ms":18446744073709551615})", "observation_ms:"},
     {"history of another type", R"({"steps":"none"})", "steps:"},
     {"history that does not match", R"({"share_percent":4})", "steps:"},
     {"growth after a rollback",
