Save results of orders that could not be saved at once

Cause: a result whose save failed waited for the next write to its bucket of claims.

Ruled out: taking one remembered result out and writing it like a new one, since results that are known only by their nonce have no token.

Change: claim_log::saveUnsaved() writes the remembered results of each bucket without a new operation; a node calls it every second. The call budget bounds its reads and writes as those of any claim.

--- a/node/node.cpp
+++ b/node/node.cpp
@@ -18,6 +18,7 @@
 constexpr std::chrono::milliseconds FAULT_INTERVAL{100};
 constexpr std::chrono::milliseconds QUIET_TIME{250};
 constexpr std::chrono::milliseconds AUDIT_INTERVAL{1000};
+constexpr std::chrono::milliseconds UNSAVED_CLAIMS_INTERVAL{1000};
 constexpr duration DRAINING_LIFETIME = std::chrono::minutes(10);
 // Waits for a configuration pull between two platform reads.
 constexpr std::chrono::milliseconds CONFIGURATION_STEP_INTERVAL{100};
@@ -94,6 +95,7 @@
     self.addThread(FAULT_INTERVAL, &node_parts::stepFaults);
     self.addThread(m_settings.accountInterval, &node_parts::stepAccounts);
     self.addThread(AUDIT_INTERVAL, &node_parts::stepAudit);
+    self.addThread(UNSAVED_CLAIMS_INTERVAL, &node_parts::stepClaims);
     logInfo("node.started",
             {{"node", m_settings.id.str()},
              {"incarnation", std::to_string(parts.ownIncarnation.value())},
--- a/node/node_parts.cpp
+++ b/node/node_parts.cpp
@@ -296,6 +296,11 @@
     }
 }
 
+void node_parts::stepClaims()
+{
+    claims.saveUnsaved();
+}
+
 void node_parts::recordEvents()
 {
     const std::string self = "node " + settings.id.str();
--- a/node/node_parts.h
+++ b/node/node_parts.h
@@ -58,6 +58,7 @@
     void stepFaults();
     void stepAccounts();
     void stepAudit();
+    void stepClaims();
 
     using store_type = budgeted_object_store<http_object_store>;
 
--- a/tests/platform/test_claim_log.cpp
+++ b/tests/platform/test_claim_log.cpp
@@ -116,6 +116,32 @@
     BOOST_TEST(other.claim(SERVICE, id).entry->resultBody.value_or("") == "mine");
 }
 
+// Guards against an order that ran and is called "unknown" for as long as no other order falls into its bucket.
+BOOST_DATA_TEST_CASE(unsavedResultsAreSavedLater, boost::unit_test::data::make({1, 3}), orders)
+{
+    std::mt19937_64 random(3);
+    memory_object_store store;
+    claim_log log(store, optionsOf("a", 1));
+    claim_log other(store, optionsOf("b", 2));
+    std::vector<request_id> ids;
+    std::vector<object_version> tokens;
+    for (int i = 0; i < orders; ++i) {
+        ids.push_back(idIn(random, START_MS, 1));
+        tokens.push_back(log.claim(SERVICE, ids.back()).fencingToken);
+    }
+    store.setDown(true);
+    for (int i = 0; i < orders; ++i) {
+        BOOST_TEST(!log.recordResult(SERVICE, ids[i], tokens[i], claim_state::ran, "mine").hasValue());
+    }
+    log.saveUnsaved();
+    store.setDown(false);
+    BOOST_TEST((other.claim(SERVICE, ids[0]).entry->state == claim_state::running));
+    log.saveUnsaved();
+    for (const request_id &id : ids) {
+        BOOST_TEST(other.claim(SERVICE, id).entry->resultBody.value_or("") == "mine");
+    }
+}
+
 /** Loses the answer of one write, which takes effect or not, and goes down with it. */
 struct losing_store : memory_object_store
 {
