Test late and slow versions with running nodes

Change: a table with errors at once, errors while the platform is down, errors after 5 s, and answers that take 80 ms longer. The counter of the tests' ports is named as the linter wants it.

Not covered: versions that are bad under load or on one route only.

--- a/tests/node/test_moves.cpp
+++ b/tests/node/test_moves.cpp
@@ -2,6 +2,7 @@
 #include <chrono>
 #include <csignal>
 #include <memory>
+#include <ostream>
 #include <thread>
 #include <vector>
 
@@ -108,6 +109,25 @@
     std::vector<std::unique_ptr<load_thread>> load;
 };
 
+struct bad_version_row
+{
+    const char *name;
+    const char *fault; ///< The switch "bad" of the new version's backend servers.
+    bool platformDown;
+};
+
+std::ostream &operator<<(std::ostream &out, const bad_version_row &row)
+{
+    return out << row.name;
+}
+
+const bad_version_row BAD_VERSION_ROWS[] = {
+    {"errors", R"({"mode":"now","error_rate":0.5})", false},
+    {"errors while the platform is down", R"({"mode":"now","error_rate":0.5})", true},
+    {"errors after 5 s", R"({"mode":"after_ms","after_ms":5000,"error_rate":0.5})", false},
+    {"slow", R"({"mode":"now","extra_ms":80})", false},
+};
+
 } // namespace snipefall
 
 using namespace snipefall;
@@ -138,17 +158,17 @@
 }
 
 // Guards against new work for a bad version after its fault shows, also when the finding can only travel between the nodes.
-BOOST_DATA_TEST_CASE(badVersionGetsNoWork, boost::unit_test::data::make({false, true}), platformDown)
+BOOST_DATA_TEST_CASE(badVersionGetsNoWork, BAD_VERSION_ROWS, row)
 {
     moving_site moving;
     const std::vector<std::string> nodes = moving.site.nodeNames();
     moving.startLoad(nodes);
     moving.startMove(120'000);
-    if (platformDown) {
+    if (row.platformDown) {
         moving.site.platform().control({{"down", true}});
     }
     for (const char *id : {"x", "y"}) {
-        moving.site.server(id).control({{"bad", {{"mode", "now"}, {"error_rate", 0.5}}}});
+        moving.site.server(id).control({{"bad", json::parse(row.fault)}});
     }
     BOOST_TEST(test_site::waitFor(
         [&] { return std::any_of(nodes.begin(), nodes.end(), [&](const std::string &node) { return !moving.moveField(node, "stopped_here").empty(); }); }));
@@ -160,7 +180,7 @@
     for (const std::string &node : nodes) {
         BOOST_TEST(!moving.moveField(node, "stopped_here").empty());
     }
-    if (platformDown) {
+    if (row.platformDown) {
         BOOST_TEST(moving.moveField("node-1", "state") != "rolled_back");
         moving.site.platform().control({{"down", false}});
     }
--- a/tests/stand_ins/free_port.cpp
+++ b/tests/stand_ins/free_port.cpp
@@ -33,9 +33,9 @@
 
 unsigned short freePort()
 {
-    static std::atomic<unsigned> next = static_cast<unsigned>(::getpid()) * PORTS_OF_PROCESS;
+    static std::atomic<unsigned> s_next = static_cast<unsigned>(::getpid()) * PORTS_OF_PROCESS;
     for (unsigned tries = 0; tries < PORTS; ++tries) {
-        const auto port = static_cast<unsigned short>(FIRST_PORT + next++ % PORTS);
+        const auto port = static_cast<unsigned short>(FIRST_PORT + s_next++ % PORTS);
         if (mayBind(port, SOCK_STREAM) && mayBind(port, SOCK_DGRAM)) {
             return port;
         }
