--- a/bench/bench_overload.cpp
+++ b/bench/bench_overload.cpp
@@ -1,8 +1,6 @@
 #include <algorithm>
 #include <cstdio>
-#include <fstream>
 #include <functional>
-#include <getopt.h>
 #include <map>
 #include <memory>
 #include <queue>
@@ -12,6 +10,7 @@
 
 #include <fmt/core.h>
 
+#include "bench/json_option.h"
 #include "core/json.h"
 #include "policy/admission_queue.h"
 #include "policy/server_limiter.h"
@@ -315,19 +314,7 @@
 
 int main(int argc, char **argv)
 {
-    const option options[] = {{"json", required_argument, nullptr, 'j'}, {nullptr, 0, nullptr, 0}};
-    std::string path;
-    for (int found = 0; (found = getopt_long(argc, argv, "", options, nullptr)) != -1;) {
-        if (found != 'j') {
-            fmt::print(stderr, "usage: bench_overload [--json FILE]\n");
-            return 2;
-        }
-        path = optarg;
-    }
-    const json document{{"loads", benchLoads()}, {"fairness", benchFairness()}, {"cold_start", benchColdStart()}};
-    if (!path.empty() && !(std::ofstream(path) << document.dump(2) << '\n')) {
-        fmt::print(stderr, "can't write {}\n", path);
-        return 1;
-    }
-    return 0;
+    return runWithJsonOption(argc, argv, "bench_overload", [] {
+        return json{{"loads", benchLoads()}, {"fairness", benchFairness()}, {"cold_start", benchColdStart()}};
+    });
 }
--- a/bench/bench_shedding.cpp
+++ b/bench/bench_shedding.cpp
@@ -1,10 +1,9 @@
-#include <fstream>
-#include <getopt.h>
 #include <string>
 
 #include <fmt/core.h>
 
 #include "bench/fall_to_one_limiter.h"
+#include "bench/json_option.h"
 #include "bench/shedding_simulation.h"
 #include "core/json.h"
 #include "policy/server_limiter.h"
@@ -124,19 +123,5 @@
 
 int main(int argc, char **argv)
 {
-    const option options[] = {{"json", required_argument, nullptr, 'j'}, {nullptr, 0, nullptr, 0}};
-    std::string path;
-    for (int found = 0; (found = getopt_long(argc, argv, "", options, nullptr)) != -1;) {
-        if (found != 'j') {
-            fmt::print(stderr, "usage: bench_shedding [--json FILE]\n");
-            return 2;
-        }
-        path = optarg;
-    }
-    const json document{{"random", benchRandomShedding()}, {"cold", benchColdServers()}};
-    if (!path.empty() && !(std::ofstream(path) << document.dump(2) << '\n')) {
-        fmt::print(stderr, "can't write {}\n", path);
-        return 1;
-    }
-    return 0;
+    return runWithJsonOption(argc, argv, "bench_shedding", [] { return json{{"random", benchRandomShedding()}, {"cold", benchColdServers()}}; });
 }
