Account for queries and orders in one function

Cause: query_service::handle and execute_service::handle repeated the same frame: record, latency, and no account for unknown services.

Change: accountedAnswer() holds it; both services give it the call that answers. Their first checks differ in the body and stay apart.

--- a/node/execute_service.cpp
+++ b/node/execute_service.cpp
@@ -7,7 +7,7 @@
 #include "core/configuration_replica.h"
 #include "core/logger.h"
 #include "http/http_call.h"
-#include "node/account_keeper.h"
+#include "node/accounted_answer.h"
 #include "node/api_responses.h"
 #include "node/crash_detector.h"
 #include "node/move_manager.h"
@@ -27,6 +27,11 @@
 
 struct execute_service::execution
 {
+    explicit execution(answer_record &accounted)
+        : record(accounted)
+    {
+    }
+
     service_id service;
     request_id request;
     service_settings settings;
@@ -35,7 +40,7 @@
     request_fingerprint fingerprint;
     std::shared_ptr<const configuration> config;
     time_point deadline;
-    answer_record record;
+    answer_record &record;
 };
 
 struct execute_service::held_slot
@@ -56,19 +61,12 @@
 
 http_response execute_service::handle(const service_id &service, const http_request &request)
 {
-    const time_point received = system_clock().now();
-    execution run;
-    run.service = service;
-    run.request = request_id(request.header("Request-Id"));
-    run.record.service = service;
-    run.record.request = run.request;
-    run.record.outcome = answer_outcome::not_run;
-    http_response response = answer(run, request);
-    run.record.latency = system_clock().now() - received;
-    if (response.status != 404) {
-        m_accounts.add(run.record);
-    }
-    return response;
+    return accountedAnswer(m_accounts, service, request, [&](answer_record &record) {
+        execution run(record);
+        run.service = service;
+        run.request = record.request;
+        return answer(run, request);
+    });
 }
 
 http_response execute_service::answer(execution &run, const http_request &request)
--- a/node/query_service.cpp
+++ b/node/query_service.cpp
@@ -6,7 +6,7 @@
 #include "core/configuration_replica.h"
 #include "core/json.h"
 #include "core/logger.h"
-#include "node/account_keeper.h"
+#include "node/accounted_answer.h"
 #include "node/api_responses.h"
 #include "node/hop_header.h"
 #include "node/move_manager.h"
@@ -82,18 +82,7 @@
 
 http_response query_service::handle(const service_id &service, const http_request &request)
 {
-    const time_point received = system_clock().now();
-    answer_record record;
-    record.service = service;
-    record.request = request_id(request.header("Request-Id"));
-    record.outcome = answer_outcome::not_run;
-    http_response response = answer(service, request, record);
-    record.latency = system_clock().now() - received;
-    // Requests for services that don't exist are not accounted, since any caller could make up names without bound.
-    if (response.status != 404) {
-        m_accounts.add(record);
-    }
-    return response;
+    return accountedAnswer(m_accounts, service, request, [&](answer_record &record) { return answer(service, request, record); });
 }
 
 http_response query_service::answer(const service_id &service, const http_request &request, answer_record &record)
