Remove repetition from the tests

Cause: three pieces of test code stood twice or more often: repeating an order until its answer rests on the claim, waiting for a load's further answers, and the two checks after each property of a parser.

--- a/tests/core/test_configuration_properties.cpp
+++ b/tests/core/test_configuration_properties.cpp
@@ -77,28 +77,22 @@
 // Guards against a patch from an operator or a peer that ends the node, or that the log gives back changed.
 BOOST_AUTO_TEST_CASE(patches)
 {
-    parse_counts counts;
     const auto write = [](const configuration_patch &patch) { return toJson(patch).dump(); };
-    BOOST_TEST(parsesHostileTexts("a patch reads back as written", PATCH, readPatch, write, std::equal_to<>(), counts));
-    BOOST_TEST(counts.bothOccurred());
+    checkParser("a patch reads back as written", PATCH, readPatch, write, std::equal_to<>());
 }
 
 // Guards against a snapshot of a peer that ends the node or changes on its way to the next peer.
 BOOST_AUTO_TEST_CASE(snapshots)
 {
-    parse_counts counts;
     const auto write = [](const configuration_snapshot &snapshot) { return toJson(snapshot).dump(); };
-    BOOST_TEST(parsesHostileTexts("a snapshot reads back as written", SNAPSHOT, readSnapshot, write, std::equal_to<>(), counts));
-    BOOST_TEST(counts.bothOccurred());
+    checkParser("a snapshot reads back as written", SNAPSHOT, readSnapshot, write, std::equal_to<>());
 }
 
 // Guards against a document that ends the node, is refused without an invalid field, or gives settings outside of what the parser itself allows.
 BOOST_AUTO_TEST_CASE(configurations)
 {
-    parse_counts counts;
     const auto equals = [](const configuration &a, const configuration &b) { return writeConfiguration(a) == writeConfiguration(b); };
-    BOOST_TEST(parsesHostileTexts("a configuration reads back as written", CONFIGURATION, readConfiguration, writeConfiguration, equals, counts));
-    BOOST_TEST(counts.bothOccurred());
+    checkParser("a configuration reads back as written", CONFIGURATION, readConfiguration, writeConfiguration, equals);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/node/test_lost_platform_answers.cpp
+++ b/tests/node/test_lost_platform_answers.cpp
@@ -82,19 +82,6 @@
     return counts;
 }
 
-/** Repeats an order through one node after the other until an answer rests on its claim; a node that gave up a claim refuses to look at it again. */
-test_site::answer repeatUntilSettled(test_site &site, const std::string &id)
-{
-    const std::vector<std::string> nodes = site.nodeNames();
-    test_site::answer answer;
-    std::size_t attempt = 0;
-    BOOST_TEST(test_site::waitFor([&] {
-        answer = site.execute(nodes[attempt++ % nodes.size()], id);
-        return answer.restsOnClaim();
-    }));
-    return answer;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(lost_platform_answer_tests)
@@ -178,7 +165,7 @@
     }
     site.platform().control({{"lose_answers", 0}});
     for (const auto &[id, pending] : answers) {
-        const test_site::answer answer = repeatUntilSettled(site, id);
+        const test_site::answer answer = site.executeUntilSettled(id);
         const std::uint64_t runs = site.runsOf(id);
         BOOST_TEST_INFO(answer.body.dump());
         BOOST_TEST(runs <= 1U);
--- a/tests/node/test_moves.cpp
+++ b/tests/node/test_moves.cpp
@@ -88,21 +88,10 @@
         return of(first) + of(second);
     }
 
-    /** Whether each caller gets 20 more answers. */
-    bool loadGoesOn()
+    /** Whether each caller gets more answers. */
+    bool loadGoesOn() const
     {
-        std::vector<int> before;
-        for (const auto &caller : load) {
-            before.push_back(caller->answered);
-        }
-        return test_site::waitFor([&] {
-            for (std::size_t i = 0; i < load.size(); ++i) {
-                if (load[i]->answered < before[i] + 20) {
-                    return false;
-                }
-            }
-            return true;
-        });
+        return std::all_of(load.begin(), load.end(), [](const auto &caller) { return caller->waitForAnswers(); });
     }
 
     test_site site;
--- a/tests/node/test_parser_properties.cpp
+++ b/tests/node/test_parser_properties.cpp
@@ -91,41 +91,31 @@
 // Guards against a backend server whose status ends the node or gives a shard map that the parser would refuse.
 BOOST_AUTO_TEST_CASE(statuses)
 {
-    parse_counts counts;
-    BOOST_TEST(parsesHostileTexts("a status reads back as written", STATUS, readStatus, writeStatus, std::equal_to<>(), counts));
-    BOOST_TEST(counts.bothOccurred());
+    checkParser("a status reads back as written", STATUS, readStatus, writeStatus, std::equal_to<>());
 }
 
 // Guards against an answer of a backend server that ends the node, and against results that are no JSON when they are joined with those of other shards.
 BOOST_AUTO_TEST_CASE(subAnswers)
 {
-    parse_counts counts;
-    BOOST_TEST(parsesHostileTexts("a sub-answer reads back as written", SUB_ANSWER, readSubAnswer, writeSubAnswer, sameSubAnswer, counts));
-    BOOST_TEST(counts.bothOccurred());
+    checkParser("a sub-answer reads back as written", SUB_ANSWER, readSubAnswer, writeSubAnswer, sameSubAnswer);
 }
 
 // Guards against counts of a peer that end the node, or whose totals differ from the sum of their buckets.
 BOOST_AUTO_TEST_CASE(observations)
 {
-    parse_counts counts;
-    BOOST_TEST(parsesHostileTexts("observations read back as written", OBSERVATIONS, decodeObservations, encodeObservations, sameObservations, counts));
-    BOOST_TEST(counts.bothOccurred());
+    checkParser("observations read back as written", OBSERVATIONS, decodeObservations, encodeObservations, sameObservations);
 }
 
 // Guards against a fact of a peer that ends the node or names another version when it is passed on.
 BOOST_AUTO_TEST_CASE(badVersions)
 {
-    parse_counts counts;
-    BOOST_TEST(parsesHostileTexts("a bad version reads back as written", BAD_VERSION, decodeBadVersion, encodeBadVersion, std::equal_to<>(), counts));
-    BOOST_TEST(counts.bothOccurred());
+    checkParser("a bad version reads back as written", BAD_VERSION, decodeBadVersion, encodeBadVersion, std::equal_to<>());
 }
 
 // Guards against a delta of a peer that ends the node or changes on its way to the next peer.
 BOOST_AUTO_TEST_CASE(deltas)
 {
-    parse_counts counts;
-    BOOST_TEST(parsesHostileTexts("a delta reads back as written", DELTA, decodeDelta, encodeDelta, sameDelta, counts));
-    BOOST_TEST(counts.bothOccurred());
+    checkParser("a delta reads back as written", DELTA, decodeDelta, encodeDelta, sameDelta);
 }
 
 // Guards against a node that ends when a caller's route, cut to its longest length within a character, reaches a message to the peers.
--- a/tests/node/test_site.cpp
+++ b/tests/node/test_site.cpp
@@ -6,6 +6,7 @@
 #include <set>
 #include <thread>
 
+#include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -192,6 +193,18 @@
     return call(addresses(node).callers, "POST", "/v1/services/svc/execute", {{"body", {{"order", "maple"}}}}, requestId);
 }
 
+test_site::answer test_site::executeUntilSettled(const std::string &requestId) const
+{
+    const std::vector<std::string> nodes = nodeNames();
+    answer last;
+    std::size_t attempt = 0;
+    BOOST_TEST(waitFor([&] {
+        last = execute(nodes[attempt++ % nodes.size()], requestId);
+        return last.restsOnClaim();
+    }));
+    return last;
+}
+
 test_site::answer test_site::patch(const std::string &node, const json &merge) const
 {
     const json patch = {
--- a/tests/node/test_site.h
+++ b/tests/node/test_site.h
@@ -62,6 +62,11 @@
     answer call(const std::string &address, const std::string &method, const std::string &target, const json &body, const std::string &requestId = "") const;
     answer query(const std::string &node, const json &query = json::object()) const;
     answer execute(const std::string &node, const std::string &requestId) const;
+    /**
+     * Repeats an order through one node after the other until an answer rests on its claim; a node that gave up a claim refuses to look at it again.
+     * A test in which that takes longer than waitFor() allows fails.
+     */
+    answer executeUntilSettled(const std::string &requestId) const;
     /** Submits a merge patch against the newest version that the node knows. */
     answer patch(const std::string &node, const json &merge) const;
     std::uint64_t configVersion(const std::string &node) const;
--- a/tests/node/test_slow_platform.cpp
+++ b/tests/node/test_slow_platform.cpp
@@ -62,19 +62,6 @@
     BOOST_TEST((answer.status == 200 || answer.ran() == "not_run" || (!isHolder && answer.ran() == "unknown")));
 }
 
-/** Repeats an order through one node after the other until an answer rests on its claim; a node that gave up a claim refuses to look at it again. */
-test_site::answer repeatUntilSettled(test_site &site, const std::string &id)
-{
-    const std::vector<std::string> nodes = site.nodeNames();
-    test_site::answer answer;
-    std::size_t attempt = 0;
-    BOOST_TEST(test_site::waitFor([&] {
-        answer = site.execute(nodes[attempt++ % nodes.size()], id);
-        return answer.restsOnClaim();
-    }));
-    return answer;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(slow_platform_tests)
@@ -140,7 +127,7 @@
         BOOST_TEST(test_site::waitFor([&] { return site.configVersion(node) == version + 1; }));
     }
     for (const auto &[id, pending] : orders) {
-        const test_site::answer answer = repeatUntilSettled(site, id);
+        const test_site::answer answer = site.executeUntilSettled(id);
         BOOST_TEST_INFO(answer.body.dump());
         BOOST_TEST(site.runsOf(id) <= 1U);
         BOOST_TEST((answer.status != 200 || site.runsOf(id) == 1U));
--- a/tests/node/test_whole_path.cpp
+++ b/tests/node/test_whole_path.cpp
@@ -120,7 +120,7 @@
     site.addServer("b", "domain-2");
     site.startService(3);
     load_thread load(site, "node-1");
-    BOOST_TEST(test_site::waitFor([&] { return load.answered >= 20; }));
+    BOOST_TEST(load.waitForAnswers());
     // Callers keep an entry answer for entry_ttl_ms; this one asks again after the node left the list.
     site.process("node-1").signal(SIGTERM);
     BOOST_TEST(test_site::waitFor([&] {
--- a/tests/parser_properties.h
+++ b/tests/parser_properties.h
@@ -7,6 +7,7 @@
 #include <tuple>
 #include <vector>
 
+#include <boost/test/unit_test.hpp>
 #include <rapidcheck.h>
 
 #include "core/json.h"
@@ -125,15 +126,16 @@
 };
 
 /**
- * Checks that hostile texts give a reason, or a value that equals itself after it was written and read again.
+ * Checks that hostile texts give a reason, or a value that equals itself after it was written and read again, and that both occurred.
  *
  * @p parse takes a text and gives an outcome, @p write takes the value and gives a text, @p equals compares two values.
  */
 template <typename Parse, typename Write, typename Equals>
-bool parsesHostileTexts(const std::string &name, const json &valid, Parse parse, Write write, Equals equals, parse_counts &counts)
+void checkParser(const std::string &name, const json &valid, Parse parse, Write write, Equals equals)
 {
     useFixedSeed();
-    return rc::check(name, [&] {
+    parse_counts counts;
+    const bool holds = rc::check(name, [&] {
         const std::string text = *hostileTexts(valid);
         const auto value = parse(text);
         if (!value) {
@@ -147,6 +149,8 @@
         RC_ASSERT(again.hasValue());
         RC_ASSERT(equals(*again, *value));
     });
+    BOOST_TEST(holds);
+    BOOST_TEST(counts.bothOccurred());
 }
 
 } // namespace snipefall
--- a/tests/policy/test_record_properties.cpp
+++ b/tests/policy/test_record_properties.cpp
@@ -46,34 +46,28 @@
 // Guards against an object of the platform that ends the node, or a permit record that changes when another node writes it.
 BOOST_AUTO_TEST_CASE(permitRecords)
 {
-    parse_counts counts;
     const auto read = [](const std::string &text) { return permit_record::fromJson(text); };
     const auto write = [](const permit_record &record) { return record.toJson(); };
-    BOOST_TEST(parsesHostileTexts("a permit record reads back as written", PERMITS, read, write, std::equal_to<>(), counts));
-    BOOST_TEST(counts.bothOccurred());
+    checkParser("a permit record reads back as written", PERMITS, read, write, std::equal_to<>());
 }
 
 // Guards against an object of the platform that ends the node, or a move that changes when another node writes it.
 BOOST_AUTO_TEST_CASE(moveRecords)
 {
-    parse_counts counts;
     const json valid = toJson(sampleMoveAt(move_state::growing, 20, SAMPLE_START_MS + 5000));
     const auto write = [](const move_record &record) { return toJson(record).dump(); };
-    BOOST_TEST(parsesHostileTexts("a move record reads back as written", valid, readMove, write, std::equal_to<>(), counts));
-    BOOST_TEST(counts.bothOccurred());
+    checkParser("a move record reads back as written", valid, readMove, write, std::equal_to<>());
 }
 
 // Guards against audit entries that end the node or the command line when they are checked, and against changed entries that pass the check.
 BOOST_AUTO_TEST_CASE(auditEntries)
 {
-    parse_counts counts;
     json valid = json::array();
     for (int i = 0; i < 3; ++i) {
         addAuditEntry(valid, "start");
     }
     const auto write = [](const json &entries) { return entries.dump(); };
-    BOOST_TEST(parsesHostileTexts("audit entries read back as written", valid, readAuditEntries, write, std::equal_to<>(), counts));
-    BOOST_TEST(counts.bothOccurred());
+    checkParser("audit entries read back as written", valid, readAuditEntries, write, std::equal_to<>());
 
     int changedChains = 0;
     const bool holds = rc::check("no changed chain passes the check", [&] {
