Move the object store of the product to store/

platform/ is to hold only the adapter to the users' platform. What lay there (claims, configuration log, audit log, call budget, the product's own object client) decides and keeps state, so it becomes the package store. Names of files and tests are unchanged.

--- a/bench/bench_claims.cpp
+++ b/bench/bench_claims.cpp
@@ -13,8 +13,8 @@
 
 #include "core/clock.h"
 #include "core/json.h"
-#include "platform/claim_log.h"
-#include "platform/memory_object_store.h"
+#include "store/claim_log.h"
+#include "store/memory_object_store.h"
 
 using namespace snipefall;
 
--- a/node/account_keeper.h
+++ b/node/account_keeper.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "core/outcome.h"
-#include "platform/object.h"
+#include "store/object.h"
 #include "policy/node_account.h"
 
 namespace snipefall {
--- a/node/closing_controller.h
+++ b/node/closing_controller.h
@@ -7,8 +7,8 @@
 #include "core/configuration_patch.h"
 #include "core/ids.h"
 #include "core/json.h"
-#include "platform/commit_result.h"
-#include "platform/object.h"
+#include "store/commit_result.h"
+#include "store/object.h"
 #include "policy/closing_record.h"
 
 namespace snipefall {
--- a/node/execute_service.h
+++ b/node/execute_service.h
@@ -11,7 +11,7 @@
 #include "core/outcome.h"
 #include "http/http_request.h"
 #include "http/http_response.h"
-#include "platform/claim_result.h"
+#include "store/claim_result.h"
 #include "policy/answer_record.h"
 #include "policy/request_fingerprint.h"
 
--- a/node/move_manager.h
+++ b/node/move_manager.h
@@ -12,7 +12,7 @@
 #include "core/ids.h"
 #include "core/json.h"
 #include "core/outcome.h"
-#include "platform/object.h"
+#include "store/object.h"
 #include "policy/fact.h"
 #include "policy/fault_detector.h"
 #include "policy/move_decision.h"
--- a/node/node_metrics.cpp
+++ b/node/node_metrics.cpp
@@ -26,7 +26,7 @@
         , subRequests(prometheus::BuildCounter().Name("snipefall_sub_requests_total").Help("Sub-requests to backend servers.").Register(registry))
         , items(prometheus::BuildCounter().Name("snipefall_items_total").Help("Items of the pinned snapshots, and items that answers saw.").Register(registry))
         , gauges(prometheus::BuildGauge().Name("snipefall_state").Help("State of the node, by name.").Register(registry))
-        , platformCalls(prometheus::BuildGauge().Name("snipefall_platform_calls").Help("Calls to the platform since the start.").Register(registry))
+        , platformCalls(prometheus::BuildGauge().Name("snipefall_store_calls").Help("Calls to the platform since the start.").Register(registry))
     {
     }
 
--- a/node/node_metrics.h
+++ b/node/node_metrics.h
@@ -3,8 +3,8 @@
 #include <memory>
 #include <string>
 
-#include "platform/call_counts.h"
-#include "platform/call_purpose.h"
+#include "store/call_counts.h"
+#include "store/call_purpose.h"
 #include "policy/answer_record.h"
 
 namespace prometheus {
--- a/node/node_parts.h
+++ b/node/node_parts.h
@@ -31,11 +31,11 @@
 #include "node/sub_request_dispatcher.h"
 #include "node/token_table.h"
 #include "node/topology_controller.h"
-#include "platform/audit_log.h"
-#include "platform/budgeted_object_store.h"
-#include "platform/claim_log.h"
-#include "platform/configuration_log.h"
-#include "platform/http_object_store.h"
+#include "store/audit_log.h"
+#include "store/budgeted_object_store.h"
+#include "store/claim_log.h"
+#include "store/configuration_log.h"
+#include "store/http_object_store.h"
 
 namespace snipefall {
 
--- a/node/operator_api.h
+++ b/node/operator_api.h
@@ -9,7 +9,7 @@
 #include "core/json.h"
 #include "http/http_request.h"
 #include "http/http_response.h"
-#include "platform/commit_result.h"
+#include "store/commit_result.h"
 
 namespace snipefall {
 
--- a/node/permit_controller.h
+++ b/node/permit_controller.h
@@ -12,7 +12,7 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/outcome.h"
-#include "platform/object.h"
+#include "store/object.h"
 #include "policy/hop_router.h"
 #include "policy/permit_action.h"
 #include "policy/permit_share.h"
--- a/node/topology_controller.h
+++ b/node/topology_controller.h
@@ -13,7 +13,7 @@
 #include "core/outcome.h"
 #include "http/sub_request.h"
 #include "node/crash_detector.h"
-#include "platform/vm_entry.h"
+#include "store/vm_entry.h"
 
 namespace snipefall {
 
--- a/platform/audit_log.h
+++ b/store/audit_log.h
@@ -8,7 +8,7 @@
 #include <fmt/format.h>
 
 #include "core/configuration_patch.h"
-#include "platform/object_store.h"
+#include "store/object_store.h"
 #include "policy/audit_chain.h"
 
 namespace snipefall {
--- a/platform/budgeted_object_store.h
+++ b/store/budgeted_object_store.h
@@ -8,9 +8,9 @@
 #include <vector>
 
 #include "core/clock.h"
-#include "platform/call_budget.h"
-#include "platform/call_counts.h"
-#include "platform/object_store.h"
+#include "store/call_budget.h"
+#include "store/call_counts.h"
+#include "store/object_store.h"
 
 namespace snipefall {
 
--- a/platform/call_budget.cpp
+++ b/store/call_budget.cpp
@@ -1,4 +1,4 @@
-#include "platform/call_budget.h"
+#include "store/call_budget.h"
 
 #include <algorithm>
 #include <cmath>
--- a/platform/call_budget.h
+++ b/store/call_budget.h
@@ -4,9 +4,9 @@
 #include <cstddef>
 
 #include "core/clock.h"
-#include "platform/call_budget_options.h"
-#include "platform/call_kind.h"
-#include "platform/call_purpose.h"
+#include "store/call_budget_options.h"
+#include "store/call_kind.h"
+#include "store/call_purpose.h"
 
 namespace snipefall {
 
--- a/platform/call_purpose.cpp
+++ b/store/call_purpose.cpp
@@ -1,4 +1,4 @@
-#include "platform/call_purpose.h"
+#include "store/call_purpose.h"
 
 namespace snipefall {
 
--- a/platform/claim_bucket.cpp
+++ b/store/claim_bucket.cpp
@@ -1,4 +1,4 @@
-#include "platform/claim_bucket.h"
+#include "store/claim_bucket.h"
 
 #include <algorithm>
 
--- a/platform/claim_bucket.h
+++ b/store/claim_bucket.h
@@ -6,8 +6,8 @@
 #include <string>
 
 #include "core/outcome.h"
-#include "platform/claim_entry.h"
-#include "platform/object.h"
+#include "store/claim_entry.h"
+#include "store/object.h"
 
 namespace snipefall {
 
--- a/platform/claim_draft.cpp
+++ b/store/claim_draft.cpp
@@ -1,4 +1,4 @@
-#include "platform/claim_draft.h"
+#include "store/claim_draft.h"
 
 #include "policy/uuid_v7.h"
 
--- a/platform/claim_draft.h
+++ b/store/claim_draft.h
@@ -2,8 +2,8 @@
 
 #include <vector>
 
-#include "platform/claim_bucket.h"
-#include "platform/claim_operation.h"
+#include "store/claim_bucket.h"
+#include "store/claim_operation.h"
 
 namespace snipefall {
 
--- a/platform/claim_entry.h
+++ b/store/claim_entry.h
@@ -4,7 +4,7 @@
 #include <string>
 
 #include "core/ids.h"
-#include "platform/claim_state.h"
+#include "store/claim_state.h"
 
 namespace snipefall {
 
--- a/platform/claim_log.h
+++ b/store/claim_log.h
@@ -13,9 +13,9 @@
 #include <fmt/format.h>
 
 #include "core/crypto.h"
-#include "platform/claim_draft.h"
-#include "platform/claim_memory.h"
-#include "platform/object_store.h"
+#include "store/claim_draft.h"
+#include "store/claim_memory.h"
+#include "store/object_store.h"
 #include "policy/uuid_v7.h"
 
 namespace snipefall {
--- a/platform/claim_memory.cpp
+++ b/store/claim_memory.cpp
@@ -1,4 +1,4 @@
-#include "platform/claim_memory.h"
+#include "store/claim_memory.h"
 
 namespace snipefall {
 
--- a/platform/claim_memory.h
+++ b/store/claim_memory.h
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "core/ids.h"
-#include "platform/claim_state.h"
+#include "store/claim_state.h"
 
 namespace snipefall {
 
--- a/platform/claim_operation.h
+++ b/store/claim_operation.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "platform/claim_result.h"
+#include "store/claim_result.h"
 
 namespace snipefall {
 
--- a/platform/claim_result.h
+++ b/store/claim_result.h
@@ -3,7 +3,7 @@
 #include <optional>
 
 #include "core/failure.h"
-#include "platform/claim_entry.h"
+#include "store/claim_entry.h"
 
 namespace snipefall {
 
--- a/platform/claim_state.cpp
+++ b/store/claim_state.cpp
@@ -1,4 +1,4 @@
-#include "platform/claim_state.h"
+#include "store/claim_state.h"
 
 namespace snipefall {
 
--- a/platform/configuration_keys.cpp
+++ b/store/configuration_keys.cpp
@@ -1,4 +1,4 @@
-#include "platform/configuration_keys.h"
+#include "store/configuration_keys.h"
 
 #include <fmt/format.h>
 
--- a/platform/configuration_keys.h
+++ b/store/configuration_keys.h
@@ -4,7 +4,7 @@
 
 #include "core/configuration_patch.h"
 #include "core/outcome.h"
-#include "platform/object.h"
+#include "store/object.h"
 
 namespace snipefall {
 
--- a/platform/configuration_log.h
+++ b/store/configuration_log.h
@@ -9,9 +9,9 @@
 #include "core/configuration_parser.h"
 #include "core/configuration_snapshot.h"
 #include "core/logger.h"
-#include "platform/commit_result.h"
-#include "platform/configuration_keys.h"
-#include "platform/object_store.h"
+#include "store/commit_result.h"
+#include "store/configuration_keys.h"
+#include "store/object_store.h"
 
 namespace snipefall {
 
--- a/platform/http_object_store.cpp
+++ b/store/http_object_store.cpp
@@ -1,10 +1,10 @@
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 
 #include <algorithm>
 #include <optional>
 #include <string_view>
 
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace snipefall {
 
--- a/platform/http_object_store.h
+++ b/store/http_object_store.h
@@ -6,11 +6,11 @@
 #include "core/json.h"
 #include "core/outcome.h"
 #include "http/http_call.h"
-#include "platform/call_purpose.h"
-#include "platform/http_object_store_options.h"
-#include "platform/object.h"
-#include "platform/vm_entry.h"
-#include "platform/watch_result.h"
+#include "store/call_purpose.h"
+#include "store/http_object_store_options.h"
+#include "store/object.h"
+#include "store/vm_entry.h"
+#include "store/watch_result.h"
 
 namespace snipefall {
 
--- a/platform/memory_object_store.cpp
+++ b/store/memory_object_store.cpp
@@ -1,8 +1,8 @@
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 
 #include <chrono>
 
-#include "platform/object_store.h"
+#include "store/object_store.h"
 
 namespace snipefall {
 
--- a/platform/memory_object_store.h
+++ b/store/memory_object_store.h
@@ -7,10 +7,10 @@
 #include <vector>
 
 #include "core/outcome.h"
-#include "platform/call_purpose.h"
-#include "platform/object.h"
-#include "platform/vm_entry.h"
-#include "platform/watch_result.h"
+#include "store/call_purpose.h"
+#include "store/object.h"
+#include "store/vm_entry.h"
+#include "store/watch_result.h"
 
 namespace snipefall {
 
--- a/platform/watch_result.h
+++ b/store/watch_result.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "platform/object.h"
+#include "store/object.h"
 
 namespace snipefall {
 
--- a/tests/node/test_account_keeper.cpp
+++ b/tests/node/test_account_keeper.cpp
@@ -4,8 +4,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "node/account_keeper.h"
-#include "platform/memory_object_store.h"
-#include "tests/platform/faulty_object_store.h"
+#include "store/memory_object_store.h"
+#include "tests/store/faulty_object_store.h"
 
 using namespace snipefall;
 
--- a/tests/node/test_lost_platform_answers.cpp
+++ b/tests/node/test_lost_platform_answers.cpp
@@ -8,7 +8,7 @@
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
-#include "platform/configuration_keys.h"
+#include "store/configuration_keys.h"
 #include "tests/node/test_site.h"
 
 using namespace snipefall;
--- a/tests/node/test_order_kills.cpp
+++ b/tests/node/test_order_kills.cpp
@@ -9,7 +9,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "platform/claim_bucket.h"
+#include "store/claim_bucket.h"
 #include "tests/node/test_site.h"
 
 using namespace snipefall;
--- a/tests/node/test_slow_platform.cpp
+++ b/tests/node/test_slow_platform.cpp
@@ -10,7 +10,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "platform/configuration_keys.h"
+#include "store/configuration_keys.h"
 #include "tests/node/load_thread.h"
 #include "tests/node/test_site.h"
 
--- a/tests/policy/test_move_races.cpp
+++ b/tests/policy/test_move_races.cpp
@@ -8,7 +8,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "core/crypto.h"
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 #include "policy/move_controller.h"
 #include "policy/version_router.h"
 #include "tests/policy/move_samples.h"
--- a/tests/stand_ins/stand_in_platform.h
+++ b/tests/stand_ins/stand_in_platform.h
@@ -12,7 +12,7 @@
 #include "http/http_request.h"
 #include "http/http_response.h"
 #include "http/http_server.h"
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 
 namespace snipefall {
 
--- a/tests/platform/faulty_object_store.h
+++ b/tests/store/faulty_object_store.h
@@ -4,7 +4,7 @@
 #include <random>
 #include <vector>
 
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 
 namespace snipefall {
 
--- a/tests/platform/test_audit_log.cpp
+++ b/tests/store/test_audit_log.cpp
@@ -4,8 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "platform/audit_log.h"
-#include "tests/platform/faulty_object_store.h"
+#include "store/audit_log.h"
+#include "tests/store/faulty_object_store.h"
 
 using namespace snipefall;
 
--- a/tests/platform/test_call_budget.cpp
+++ b/tests/store/test_call_budget.cpp
@@ -3,8 +3,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "platform/budgeted_object_store.h"
-#include "platform/memory_object_store.h"
+#include "store/budgeted_object_store.h"
+#include "store/memory_object_store.h"
 
 using namespace snipefall;
 using namespace std::chrono_literals;
--- a/tests/platform/test_claim_log.cpp
+++ b/tests/store/test_claim_log.cpp
@@ -8,8 +8,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "platform/claim_log.h"
-#include "tests/platform/faulty_object_store.h"
+#include "store/claim_log.h"
+#include "tests/store/faulty_object_store.h"
 
 using namespace snipefall;
 
--- a/tests/platform/test_claim_log_fuzz.cpp
+++ b/tests/store/test_claim_log_fuzz.cpp
@@ -5,8 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
-#include "platform/claim_log.h"
-#include "tests/platform/faulty_object_store.h"
+#include "store/claim_log.h"
+#include "tests/store/faulty_object_store.h"
 
 using namespace snipefall;
 
--- a/tests/platform/test_configuration_log.cpp
+++ b/tests/store/test_configuration_log.cpp
@@ -10,8 +10,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "core/configuration_replica.h"
-#include "platform/configuration_log.h"
-#include "tests/platform/faulty_object_store.h"
+#include "store/configuration_log.h"
+#include "tests/store/faulty_object_store.h"
 
 using namespace snipefall;
 
--- a/tests/platform/test_http_object_store.cpp
+++ b/tests/store/test_http_object_store.cpp
@@ -5,7 +5,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "platform/http_object_store.h"
+#include "store/http_object_store.h"
 #include "tests/stand_ins/free_port.h"
 #include "tests/stand_ins/stand_in_platform.h"
 
--- a/tests/platform/test_memory_object_store.cpp
+++ b/tests/store/test_memory_object_store.cpp
@@ -1,7 +1,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "platform/memory_object_store.h"
+#include "store/memory_object_store.h"
 
 using namespace snipefall;
 
