--- a/core/error_code.cpp
+++ b/core/error_code.cpp
@@ -23,6 +23,8 @@
         return "quarantined";
     case error_code::permission_denied:
         return "permission_denied";
+    case error_code::history_gone:
+        return "history_gone";
     case error_code::no_permits:
         return "no_permits";
     case error_code::internal:
--- a/core/error_code.h
+++ b/core/error_code.h
@@ -16,6 +16,7 @@
     overloaded, ///< Refused early because of load; nothing was done.
     quarantined, ///< The request is refused because it crashed backend servers.
     permission_denied, ///< The sender is not allowed to do this.
+    history_gone, ///< The requested history is no longer kept.
     no_permits, ///< This node holds no permits of the service; nothing was done.
     internal, ///< A library or the system gave an unexpected error.
 };
--- a/node/api_responses.cpp
+++ b/node/api_responses.cpp
@@ -46,6 +46,7 @@
     case error_code::deadline_exceeded:
         return 504;
     case error_code::unavailable:
+    case error_code::history_gone:
     case error_code::no_permits:
     case error_code::unknown_result:
         return 503;
