--- /dev/null
+++ b/policy/backend_choice.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <string>
+
+#include "core/ids.h"
+
+namespace snipefall {
+
+/** A backend server that was chosen for a sub-request. */
+struct backend_choice
+{
+    backend_server_id id;
+    std::string address; ///< "ip:port"
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/policy/caller_limits.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstddef>
+
+#include "core/clock.h"
+
+namespace snipefall {
+
+/** Limits on what callers send and on how long they may take. */
+struct caller_limits
+{
+    std::size_t maxHeaderBytes = 16384;
+    std::size_t maxBodyBytes = 262144;
+    duration headerTimeout = std::chrono::seconds(3);
+    duration idleTimeout = std::chrono::seconds(15);
+};
+
+} // namespace snipefall
