Add an asynchronous HTTP client and server on Boost.Beast

The platform's rules need what the cxxtools client and server can't give: a caller's leaving is seen while its request runs, bytes after an answer spoil the connection, late answers are told apart, a reset differs from an end, and no request is sent a second time by the library. One event loop also needs less processor time and memory on the platform's small machines.

--- /dev/null
+++ b/http/async_http_client.cpp
@@ -0,0 +1,164 @@
+#include "http/async_http_client.h"
+
+#include <algorithm>
+
+#include <boost/asio/post.hpp>
+
+#include "http/client_connection.h"
+#include "http/endpoint_text.h"
+
+namespace snipefall {
+
+namespace {
+
+/** Resolution of the time for which idle connections are kept. */
+constexpr std::chrono::milliseconds SWEEP_INTERVAL(250);
+
+} // namespace
+
+async_http_client::async_http_client(boost::asio::io_context &loop, const async_client_options &options)
+    : m_loop(loop)
+    , m_options(options)
+    , m_sweepTimer(loop)
+{
+    sweep();
+}
+
+async_http_client::~async_http_client()
+{
+    for (const auto &[address, pool] : m_pools) {
+        for (const auto &connection : pool.idle) {
+            connection->close();
+        }
+    }
+    for (const auto &[id, connection] : m_calls) {
+        connection->close();
+    }
+}
+
+async_http_client::call_id async_http_client::start(client_call call, handler done)
+{
+    const call_id id = ++m_lastCall;
+    const auto endpoint = parseEndpoint(call.address);
+    if (!endpoint) {
+        boost::asio::post(m_loop, [done = std::move(done)] {
+            client_result result;
+            result.outcome = client_result::kind::not_sent;
+            result.sentAt = std::chrono::steady_clock::now();
+            done(std::move(result));
+        });
+        return id;
+    }
+    const std::string address = call.address;
+    std::shared_ptr<client_connection> connection = call.newConnection ? nullptr : takeIdle(address);
+    if (!connection) {
+        connection = std::make_shared<client_connection>(m_loop, *endpoint, m_options);
+        ++m_opened;
+    }
+    ++m_pools[address].inUse;
+    m_calls[id] = connection;
+    connection->start(std::move(call), [this, id, address, connection, done = std::move(done)](client_result result, bool reusable) {
+        ended(id, address, connection, reusable);
+        done(std::move(result));
+    });
+    return id;
+}
+
+void async_http_client::limitTo(call_id id, std::chrono::microseconds linger)
+{
+    const auto found = m_calls.find(id);
+    if (found != m_calls.end()) {
+        const std::shared_ptr<client_connection> connection = found->second;
+        connection->limitTo(linger);
+    }
+}
+
+std::shared_ptr<client_connection> async_http_client::takeIdle(const std::string &address)
+{
+    const auto found = m_pools.find(address);
+    if (found == m_pools.end()) {
+        return nullptr;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    while (!found->second.idle.empty()) {
+        std::shared_ptr<client_connection> connection = std::move(found->second.idle.back());
+        found->second.idle.pop_back();
+        if (now < connection->keepUntil()) {
+            return connection;
+        }
+        connection->close();
+    }
+    return nullptr;
+}
+
+void async_http_client::ended(call_id id, const std::string &address, const std::shared_ptr<client_connection> &connection, bool reusable)
+{
+    m_calls.erase(id);
+    address_pool &pool = m_pools[address];
+    --pool.inUse;
+    if (!reusable) {
+        if (pool.inUse == 0 && pool.idle.empty()) {
+            m_pools.erase(address);
+        }
+        return;
+    }
+    pool.idle.push_back(connection);
+    connection->watchIdle([this, address, weak = std::weak_ptr<client_connection>(connection)] {
+        const auto found = m_pools.find(address);
+        if (found == m_pools.end()) {
+            return;
+        }
+        auto &idle = found->second.idle;
+        idle.erase(std::remove(idle.begin(), idle.end(), weak.lock()), idle.end());
+        if (found->second.inUse == 0 && idle.empty()) {
+            m_pools.erase(found);
+        }
+    });
+}
+
+std::size_t async_http_client::connectionsTo(const std::string &address) const
+{
+    const auto found = m_pools.find(address);
+    return found == m_pools.end() ? 0 : found->second.inUse + found->second.idle.size();
+}
+
+std::size_t async_http_client::idleConnectionsTo(const std::string &address) const
+{
+    const auto found = m_pools.find(address);
+    return found == m_pools.end() ? 0 : found->second.idle.size();
+}
+
+void async_http_client::closeIdle(const std::string &address)
+{
+    const auto found = m_pools.find(address);
+    if (found == m_pools.end()) {
+        return;
+    }
+    for (const auto &connection : found->second.idle) {
+        connection->close();
+    }
+    found->second.idle.clear();
+    if (found->second.inUse == 0) {
+        m_pools.erase(found);
+    }
+}
+
+void async_http_client::sweep()
+{
+    const auto now = std::chrono::steady_clock::now();
+    for (auto pool = m_pools.begin(); pool != m_pools.end();) {
+        auto &idle = pool->second.idle;
+        const auto firstOver = std::stable_partition(idle.begin(), idle.end(), [now](const auto &item) { return now < item->keepUntil(); });
+        std::for_each(firstOver, idle.end(), [](const auto &item) { item->close(); });
+        idle.erase(firstOver, idle.end());
+        pool = pool->second.inUse == 0 && idle.empty() ? m_pools.erase(pool) : std::next(pool);
+    }
+    m_sweepTimer.expires_after(SWEEP_INTERVAL);
+    m_sweepTimer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled) {
+            sweep();
+        }
+    });
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/http/server_connection.cpp
@@ -0,0 +1,237 @@
+#include "http/server_connection.h"
+
+#include <boost/asio/buffer.hpp>
+
+#include "http/http_exchange.h"
+
+namespace snipefall {
+
+namespace beast = boost::beast;
+
+namespace {
+
+constexpr std::size_t READ_BYTES = 8192;
+/** Bytes of further requests that are read while one runs; more wait in the kernel. */
+constexpr std::size_t MAX_READ_AHEAD = 65536;
+
+} // namespace
+
+server_connection::server_connection(boost::asio::ip::tcp::socket socket, std::shared_ptr<const async_server_limits> limits, handler handleRequest)
+    : m_socket(std::move(socket))
+    , m_limits(std::move(limits))
+    , m_handler(std::move(handleRequest))
+    , m_lastProgress(std::chrono::steady_clock::now())
+{
+}
+
+void server_connection::start()
+{
+    waitForBytes();
+}
+
+void server_connection::waitForBytes()
+{
+    if (!m_open || m_waiting || (isBusy() && m_buffer.size() >= MAX_READ_AHEAD)) {
+        return;
+    }
+    m_waiting = true;
+    m_socket.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code &error) {
+        self->m_waiting = false;
+        if (!self->m_open || error) {
+            return;
+        }
+        self->readBytes();
+    });
+}
+
+void server_connection::readBytes()
+{
+    boost::system::error_code error;
+    const std::size_t count = m_socket.read_some(m_buffer.prepare(READ_BYTES), error);
+    if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
+        waitForBytes();
+        return;
+    }
+    if (error) {
+        clientLeft();
+        return;
+    }
+    m_buffer.commit(count);
+    if (m_state == state::reading) {
+        parse();
+    }
+    waitForBytes();
+}
+
+void server_connection::parse()
+{
+    if (m_buffer.size() == 0) {
+        return;
+    }
+    if (!m_parser) {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_limits->headerBytes));
+        m_parser->body_limit(m_limits->bodyBytes);
+        m_parser->eager(true);
+        m_lastProgress = std::chrono::steady_clock::now();
+    }
+    const bool headerWasDone = m_parser->is_header_done();
+    boost::system::error_code error;
+    // The parser stops after each part of a message, so it is called until it takes nothing more.
+    while (!m_parser->is_done() && m_buffer.size() > 0) {
+        const std::size_t used = m_parser->put(m_buffer.data(), error);
+        m_buffer.consume(used);
+        if (error || used == 0) {
+            break;
+        }
+    }
+    if (error && error != beast::http::error::need_more) {
+        if (error == beast::http::error::header_limit) {
+            refuse(beast::http::status::request_header_fields_too_large);
+        } else if (error == beast::http::error::body_limit) {
+            refuse(beast::http::status::payload_too_large);
+        } else {
+            refuse(beast::http::status::bad_request);
+        }
+        return;
+    }
+    if (m_parser->is_header_done()) {
+        m_lastProgress = std::chrono::steady_clock::now();
+        const auto &header = m_parser->get();
+        // A request with both is how one request is hidden inside another.
+        if (header.count(beast::http::field::transfer_encoding) > 0 && header.count(beast::http::field::content_length) > 0) {
+            refuse(beast::http::status::bad_request);
+            return;
+        }
+        if (!headerWasDone && !m_parser->is_done() && beast::iequals(header[beast::http::field::expect], "100-continue")) {
+            boost::system::error_code ignored; // A client that can't be written to is noticed by the next read.
+            boost::asio::write(m_socket, boost::asio::buffer("HTTP/1.1 100 Continue\r\n\r\n", 25), ignored);
+        }
+    }
+    if (m_parser->is_done()) {
+        handleRequest();
+    }
+}
+
+void server_connection::handleRequest()
+{
+    http_request_message request = m_parser->release();
+    m_parser.reset();
+    m_state = state::handling;
+    m_headRequest = request.method() == beast::http::verb::head;
+    m_closing = m_closing || !request.keep_alive();
+    m_exchange = std::make_shared<http_exchange>(weak_from_this(), std::move(request), std::chrono::steady_clock::now());
+    m_handler(m_exchange);
+}
+
+void server_connection::refuse(beast::http::status status)
+{
+    m_parser.reset();
+    m_state = state::handling;
+    m_closing = true;
+    respond(http_response_message(status, 11));
+}
+
+void server_connection::respond(http_response_message response)
+{
+    if (!m_open || m_state != state::handling) {
+        return;
+    }
+    m_exchange.reset();
+    m_response = std::move(response);
+    m_response.keep_alive(!m_closing);
+    m_response.prepare_payload();
+    if (m_headRequest) {
+        m_response.body().clear();
+    }
+    m_state = state::writing;
+    m_lastProgress = std::chrono::steady_clock::now();
+    write();
+}
+
+void server_connection::write()
+{
+    m_serializer.emplace(m_response);
+    m_serializer->split(m_headRequest);
+    auto done = [self = shared_from_this()](const boost::system::error_code &error, std::size_t) { self->written(error); };
+    if (m_headRequest) {
+        beast::http::async_write_header(m_socket, *m_serializer, std::move(done));
+        return;
+    }
+    beast::http::async_write(m_socket, *m_serializer, std::move(done));
+}
+
+void server_connection::written(const boost::system::error_code &error)
+{
+    m_serializer.reset();
+    if (!m_open) {
+        return;
+    }
+    if (error || m_closing) {
+        close();
+        return;
+    }
+    m_response = http_response_message();
+    m_state = state::reading;
+    m_lastProgress = std::chrono::steady_clock::now();
+    parse();
+    waitForBytes();
+}
+
+void server_connection::clientLeft()
+{
+    const std::shared_ptr<http_exchange> exchange = std::move(m_exchange);
+    m_exchange.reset();
+    if (m_state == state::writing) {
+        // A client that only ended its sending side still gets the rest of its response.
+        m_closing = true;
+        return;
+    }
+    close();
+    if (exchange) {
+        exchange->clientLeft();
+    }
+}
+
+void server_connection::closeIfIdle()
+{
+    if (m_open && m_state == state::reading && !m_parser && m_buffer.size() == 0) {
+        close();
+    }
+}
+
+void server_connection::checkTime(steady_time now)
+{
+    const auto passed = now - m_lastProgress;
+    if (m_state == state::handling) {
+        return;
+    }
+    if (m_state == state::writing) {
+        if (passed > m_limits->bodyTimeout) {
+            close();
+        }
+        return;
+    }
+    if (!m_parser) {
+        if (passed > m_limits->idleTimeout) {
+            close();
+        }
+        return;
+    }
+    if (passed > (m_parser->is_header_done() ? m_limits->bodyTimeout : m_limits->headerTimeout)) {
+        refuse(beast::http::status::request_timeout);
+    }
+}
+
+void server_connection::close()
+{
+    if (!m_open) {
+        return;
+    }
+    m_open = false;
+    boost::system::error_code ignored; // The connection is given up whatever the system answers.
+    m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
+    m_socket.close(ignored);
+}
+
+} // namespace snipefall
--- a/scripts/install_packages.sh
+++ b/scripts/install_packages.sh
@@ -4,7 +4,7 @@
 
 packages=(g++ cmake ninja-build ccache pkg-config clang-format clang-tidy python3
     libcxxtools-dev libthrift-dev thrift-compiler libevent-dev prometheus-cpp-dev libfmt-dev
-    libboost-test-dev librapidcheck-dev libssl-dev nlohmann-json3-dev)
+    libboost-dev libboost-test-dev librapidcheck-dev libssl-dev nlohmann-json3-dev)
 
 missing=()
 for package in "${packages[@]}"; do
--- a/scripts/measure_control.py
+++ b/scripts/measure_control.py
@@ -20,7 +20,7 @@
 SETTLE_S = 15  # The join phase of a node lasts 10 s.
 PATCH_TIMEOUT_S = 15
 LOG_LINE = re.compile(r"^(\S+) .*configuration\.in_force version=(\d+)", re.MULTILINE)
-CALLS_LINE = re.compile(r'^snipefall_platform_calls\{(.*)\} (\S+)$', re.MULTILINE)
+CALLS_LINE = re.compile(r'^snipefall_store_calls\{(.*)\} (\S+)$', re.MULTILINE)
 
 
 def percentile(values, share):
