--- a/node/main.cpp
+++ b/node/main.cpp
@@ -1,5 +1,7 @@
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
+#include <string_view>
 
 #include <fmt/format.h>
 #include <pthread.h>
@@ -9,6 +11,9 @@
 #include "core/settings_table.h"
 #include "node/node.h"
 #include "node/node_settings.h"
+#include "platform/boot_settings.h"
+#include "tier/tier_process.h"
+#include "tier/tier_settings.h"
 
 extern char **environ;
 
@@ -17,12 +22,46 @@
 constexpr int EXIT_USAGE = 2;
 constexpr int EXIT_START = 3;
 
+/** A platform that hands each process a settings file names it in the environment or by a flag. */
+bool hasBootFile(int argc, char **argv)
+{
+    if (std::getenv("SNIPEFALL_BOOT")) {
+        return true;
+    }
+    for (int i = 1; i < argc; ++i) {
+        const std::string_view argument = argv[i];
+        if (argument == "--boot" || argument.substr(0, 7) == "--boot=") {
+            return true;
+        }
+    }
+    return false;
+}
+
+int runOnPlatform(const snipefall::setting_values &values)
+{
+    using namespace snipefall;
+    const tier_settings settings = tier_settings::fromValues(values);
+    outcome<boot_settings> boot = readBootSettings(settings.bootFile);
+    if (!boot) {
+        fmt::print(stderr, "snipefalld: {}: {}\n", settings.bootFile, boot.reason().message);
+        return EXIT_USAGE;
+    }
+    std::signal(SIGPIPE, SIG_IGN);
+    tier_process process(settings, std::move(boot).value());
+    if (const auto problem = process.run()) {
+        fmt::print(stderr, "snipefalld: {}\n", *problem);
+        return EXIT_START;
+    }
+    return 0;
+}
+
 } // namespace
 
 int main(int argc, char **argv)
 {
     using namespace snipefall;
-    const settings_table &table = node_settings::table();
+    const bool onPlatform = hasBootFile(argc, argv);
+    const settings_table &table = onPlatform ? tier_settings::table() : node_settings::table();
     for (int i = 1; i < argc; ++i) {
         const std::string argument = argv[i];
         if (argument == "--help" || argument == "--reference") {
@@ -46,6 +85,9 @@
         fmt::print("the settings are valid\n");
         return 0;
     }
+    if (onPlatform) {
+        return runOnPlatform(*values);
+    }
     // The signals are blocked in all threads and taken by sigwait() below; a write to a closed connection is an error value, not a signal.
     sigset_t signals;
     sigemptyset(&signals);
--- /dev/null
+++ b/tier/caller_service.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <memory>
+#include <random>
+#include <set>
+
+#include "core/clock.h"
+#include "http/http_exchange.h"
+#include "platform/caller_request.h"
+#include "tier/request_runner.h"
+
+namespace snipefall {
+
+struct tier_settings;
+
+/** Takes requests of callers: finds their routes, refuses what can't be served, and runs the others. */
+class caller_service
+{
+public:
+    caller_service(request_runner::environment surroundings, const tier_settings &settings, std::uint64_t seed);
+
+    void handle(const std::shared_ptr<http_exchange> &exchange);
+    /** Answers all running requests at once; for a process that is about to stop. */
+    void endAll();
+    std::size_t running() const { return m_running.size(); }
+
+private:
+    void refuse(http_exchange &exchange, unsigned status, const request_id &id, const std::string &reason, duration retryAfter);
+    request_times timesOf(const http_exchange &exchange, const caller_request &request, const request_route &route);
+    std::vector<service_id> servicesOf(const request_route &route);
+
+    request_runner::environment m_environment;
+    duration m_callerPath;
+    std::size_t m_maxRequests;
+    std::mt19937_64 m_random;
+    std::set<std::shared_ptr<request_runner>> m_running;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/tier/node_register.cpp
@@ -0,0 +1,93 @@
+#include "tier/node_register.h"
+
+#include "core/logger.h"
+#include "platform/wire_names.h"
+
+namespace snipefall {
+
+namespace {
+
+constexpr duration RETRY_PAUSE = std::chrono::seconds(2);
+
+} // namespace
+
+node_register::node_register(boost::asio::io_context &loop, store_client &store, member self, std::function<void(std::vector<std::string>)> onListed)
+    : m_store(store)
+    , m_self(std::move(self))
+    , m_onListed(std::move(onListed))
+    , m_timer(loop)
+{
+}
+
+void node_register::list()
+{
+    m_store.list(wire::NODES_KIND, [this](const outcome<object_listing> &listing) {
+        if (!listing) {
+            retry();
+            return;
+        }
+        std::vector<std::string> addresses;
+        object_version known;
+        for (const stored_object &object : listing->objects) {
+            if (object.name == m_self.id.str()) {
+                known = object.revision;
+            }
+            const std::string address = jsonValue<std::string>(object.spec, "peer_address", "");
+            if (!address.empty()) {
+                addresses.push_back(address);
+            }
+        }
+        m_onListed(std::move(addresses));
+        write(known);
+    });
+}
+
+void node_register::write(object_version known)
+{
+    const json spec{{"peer_address", m_self.peerAddress},
+                    {"caller_address", m_self.callerAddress},
+                    {"domain", m_self.domain.str()},
+                    {"started_ms", m_self.started.value()}};
+    const auto done = [this](const outcome<object_version> &written) {
+        if (!written) {
+            logInfo("node.not_registered", {{"reason", written.reason().message}});
+            retry();
+            return;
+        }
+        m_revision = *written;
+    };
+    if (known == object_version()) {
+        m_store.create(wire::NODES_KIND, m_self.id.str(), spec, done);
+        return;
+    }
+    m_store.replace(wire::NODES_KIND, m_self.id.str(), spec, known, done);
+}
+
+void node_register::remove()
+{
+    m_removing = true;
+    m_timer.cancel();
+    if (m_revision == object_version()) {
+        return;
+    }
+    m_store.remove(wire::NODES_KIND, m_self.id.str(), m_revision, [](const outcome<object_version> &removed) {
+        if (!removed) {
+            logInfo("node.not_unregistered", {{"reason", removed.reason().message}});
+        }
+    });
+}
+
+void node_register::retry()
+{
+    if (m_removing) {
+        return;
+    }
+    m_timer.expires_after(RETRY_PAUSE);
+    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled) {
+            list();
+        }
+    });
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/tier/object_follower.cpp
@@ -0,0 +1,112 @@
+#include "tier/object_follower.h"
+
+#include <algorithm>
+
+#include "core/logger.h"
+
+namespace snipefall {
+
+namespace {
+
+/** A waiting watch is paid for once, so it waits long; silent connections are found by keep-alive probes. */
+constexpr duration WATCH_TIME = std::chrono::seconds(25);
+/** Changes that come together are read by one call. */
+constexpr duration COALESCE_TIME = std::chrono::milliseconds(100);
+constexpr duration FIRST_RETRY = std::chrono::milliseconds(100);
+/** Bounds the time until a store that is back is noticed, well below the bounds on applying what it holds. */
+constexpr duration LONGEST_RETRY = std::chrono::milliseconds(800);
+
+} // namespace
+
+object_follower::object_follower(boost::asio::io_context &loop, store_client &store, std::string kind, handlers callbacks)
+    : m_store(store)
+    , m_kind(std::move(kind))
+    , m_handlers(std::move(callbacks))
+    , m_timer(loop)
+{
+}
+
+void object_follower::refresh()
+{
+    m_timer.cancel();
+    list();
+}
+
+void object_follower::list()
+{
+    const std::uint64_t round = ++m_round;
+    m_store.list(m_kind, [this, round](const outcome<object_listing> &listing) {
+        if (round != m_round) {
+            return;
+        }
+        if (!listing) {
+            failed(listing.reason());
+            after(std::min(FIRST_RETRY * (1U << std::min(m_failures, 4U)) / 2, LONGEST_RETRY), [this] { list(); });
+            return;
+        }
+        succeeded();
+        m_revision = listing->storeRevision;
+        m_handlers.onListing(*listing);
+        watch();
+    });
+}
+
+void object_follower::watch()
+{
+    const std::uint64_t round = ++m_round;
+    m_store.watch(m_kind, m_revision, WATCH_TIME, [this, round](const outcome<object_changes> &changes) {
+        if (round != m_round) {
+            return;
+        }
+        if (!changes) {
+            if (changes.reason().code == error_code::history_gone) {
+                logInfo("store.history_gone", {{"kind", m_kind}, {"revision", std::to_string(m_revision.value())}});
+            } else {
+                failed(changes.reason());
+            }
+            list();
+            return;
+        }
+        succeeded();
+        m_revision = std::max(m_revision, changes->storeRevision);
+        if (!changes->changes.empty()) {
+            m_handlers.onChanges(*changes);
+            after(COALESCE_TIME, [this] { watch(); });
+            return;
+        }
+        watch();
+    });
+}
+
+void object_follower::failed(const failure &reason)
+{
+    ++m_failures;
+    if (!m_reachable) {
+        return;
+    }
+    m_reachable = false;
+    logWarning("store.lost", {{"kind", m_kind}, {"revision", std::to_string(m_revision.value())}, {"reason", reason.message}});
+    m_handlers.onReachable(false);
+}
+
+void object_follower::succeeded()
+{
+    if (!m_reachable) {
+        logInfo("store.regained", {{"kind", m_kind}, {"failures", std::to_string(m_failures)}});
+        m_reachable = true;
+        m_handlers.onReachable(true);
+    }
+    m_failures = 0;
+}
+
+void object_follower::after(duration pause, std::function<void()> action)
+{
+    m_timer.expires_after(pause);
+    m_timer.async_wait([action = std::move(action)](const boost::system::error_code &cancelled) {
+        if (!cancelled) {
+            action();
+        }
+    });
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/tier/object_follower.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "platform/store_client.h"
+
+namespace snipefall {
+
+/** Follows all objects of one kind in the platform's store: a complete list, then the changes. */
+class object_follower
+{
+public:
+    struct handlers
+    {
+        std::function<void(const object_listing &)> onListing; ///< Replaces all that was known.
+        std::function<void(const object_changes &)> onChanges;
+        std::function<void(bool reachable)> onReachable; ///< Called when the store is lost and when it answers again.
+    };
+
+    object_follower(boost::asio::io_context &loop, store_client &store, std::string kind, handlers callbacks);
+
+    void start() { list(); }
+    /** Reads the complete list again as soon as possible, for example after the process was suspended. */
+    void refresh();
+
+private:
+    void list();
+    void watch();
+    void failed(const failure &reason);
+    void succeeded();
+    void after(duration pause, std::function<void()> action);
+
+    store_client &m_store;
+    std::string m_kind;
+    handlers m_handlers;
+    boost::asio::steady_timer m_timer;
+    object_version m_revision;
+    unsigned m_failures = 0;
+    std::uint64_t m_round = 0; ///< Answers to calls of earlier rounds are left out.
+    bool m_reachable = true;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/tier/peer_link.cpp
@@ -0,0 +1,197 @@
+#include "tier/peer_link.h"
+
+#include <algorithm>
+
+#include <boost/asio/buffer.hpp>
+
+#include "core/crypto.h"
+#include "core/logger.h"
+#include "http/endpoint_text.h"
+#include "peer/generated/peer_messages_types.h"
+#include "peer/gossip_codec.h"
+
+namespace snipefall {
+
+namespace {
+
+/** Resolution of the protocol's timers. */
+constexpr duration TICK_INTERVAL = std::chrono::milliseconds(100);
+/** Datagrams from senders whose clocks differ by more are refused. */
+constexpr std::uint64_t MAX_CLOCK_SKEW_MS = 300000;
+/** A node that was lost this short a time ago may still be sending, behind a cut. */
+constexpr duration LOST_NODE_COUNTS = std::chrono::seconds(15);
+constexpr duration DRAINING_LIFETIME = std::chrono::seconds(30);
+constexpr char DRAINING_PREFIX[] = "draining/";
+
+envelope_settings envelopeSettings(const member &self, const std::string &clusterName)
+{
+    // The platform hands out no secret. The key keeps strays of other deployments out; it is no protection against an attacker in the network.
+    return {self.id, self.started, {peer_key{"cluster", sha256Hex(clusterName)}}, MAX_CLOCK_SKEW_MS};
+}
+
+time_point now()
+{
+    return system_clock().now();
+}
+
+} // namespace
+
+peer_link::peer_link(boost::asio::io_context &loop, member self, const std::string &clusterName, std::uint64_t seed)
+    : m_socket(loop)
+    , m_timer(loop)
+    , m_self(std::move(self))
+    , m_codec(envelopeSettings(m_self, clusterName))
+    , m_guard(2 * MAX_CLOCK_SKEW_MS)
+    , m_engine(gossip_settings(), m_self, seed)
+{
+}
+
+std::optional<std::string> peer_link::start(const std::vector<std::string> &seeds)
+{
+    const auto address = parseEndpoint(m_self.peerAddress);
+    if (!address) {
+        return "not an address: " + m_self.peerAddress;
+    }
+    const boost::asio::ip::udp::endpoint endpoint(address->address(), address->port());
+    boost::system::error_code error;
+    m_socket.open(endpoint.protocol(), error);
+    if (!error) {
+        m_socket.bind(endpoint, error);
+    }
+    if (error) {
+        return "can't bind " + m_self.peerAddress + ": " + error.message();
+    }
+    m_socket.non_blocking(true);
+    m_engine.nodes().setSeeds(seeds);
+    receive();
+    tick();
+    return std::nullopt;
+}
+
+void peer_link::setHints(std::vector<std::string> addresses)
+{
+    std::erase(addresses, m_self.peerAddress);
+    m_engine.nodes().setHints(std::move(addresses));
+}
+
+void peer_link::announceStop()
+{
+    fact item;
+    item.kind = fact_kind::draining_node;
+    item.key = DRAINING_PREFIX + m_self.id.str();
+    item.payload = m_self.id.str();
+    item.lifetime = DRAINING_LIFETIME;
+    if (const auto published = m_engine.publish(now(), std::move(item)); !published) {
+        logWarning("peers.stop_not_announced", {{"reason", published.reason().message}});
+        return;
+    }
+    send(m_engine.pushNews(now()));
+}
+
+void peer_link::leave()
+{
+    send(m_engine.leave(now()));
+}
+
+std::vector<entry_candidate> peer_link::entries() const
+{
+    std::map<node_id, incarnation> draining;
+    for (const fact &item : m_engine.facts().all(now())) {
+        if (item.kind == fact_kind::draining_node) {
+            draining[node_id(item.payload)] = item.originIncarnation;
+        }
+    }
+    std::vector<entry_candidate> result;
+    for (const node_id &id : m_engine.nodes().others().live()) {
+        const member *peer = m_engine.nodes().others().find(id);
+        const auto stopping = draining.find(id);
+        // The fact of an earlier run says nothing about a node that has started again.
+        if (!peer || peer->callerAddress.empty() || (stopping != draining.end() && stopping->second >= peer->firstStarted())) {
+            continue;
+        }
+        result.push_back({peer->callerAddress, peer->domain});
+    }
+    return result;
+}
+
+std::size_t peer_link::nodeCount() const
+{
+    const time_point at = now();
+    const auto recent = std::count_if(m_lastLive.begin(), m_lastLive.end(), [at](const auto &item) { return at - item.second < LOST_NODE_COUNTS; });
+    return static_cast<std::size_t>(recent) + 1;
+}
+
+void peer_link::receive()
+{
+    m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code &error, std::size_t size) {
+        if (error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            handle(m_sender.address().to_string() + ":" + std::to_string(m_sender.port()), std::string_view(m_buffer.data(), size));
+        }
+        receive();
+    });
+}
+
+void peer_link::handle(const std::string &from, std::string_view bytes)
+{
+    peer_messages::envelope envelope;
+    refusal_reason reason = refusal_reason::malformed;
+    std::optional<peer_message> message;
+    if (bytes.size() <= envelope_codec::MAX_DATAGRAM_BYTES && envelope_codec::decode(bytes, envelope)) {
+        message = m_codec.open(envelope, from, wallClockMs(), &m_guard, reason);
+    }
+    const auto gossip = message && message->kind == message_kind::gossip ? decodeGossip(message->payload) : std::nullopt;
+    if (!gossip) {
+        logWarning("peers.datagram_refused", {{"from", from}, {"reason", toString(reason)}});
+        return;
+    }
+    send(m_engine.receive(now(), message->sender, from, *gossip));
+    takeEvents();
+}
+
+void peer_link::tick()
+{
+    const time_point at = now();
+    send(m_engine.tick(at));
+    takeEvents();
+    for (const node_id &id : m_engine.nodes().others().live()) {
+        m_lastLive[id] = at;
+    }
+    std::erase_if(m_lastLive, [at](const auto &item) { return at - item.second >= LOST_NODE_COUNTS; });
+    m_timer.expires_after(TICK_INTERVAL);
+    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled) {
+            tick();
+        }
+    });
+}
+
+void peer_link::send(const std::vector<outgoing_gossip> &datagrams)
+{
+    for (const outgoing_gossip &datagram : datagrams) {
+        const auto to = parseEndpoint(datagram.address);
+        const std::string bytes = envelope_codec::encode(m_codec.seal(message_kind::gossip, datagram.recipient, encodeGossip(datagram.message)));
+        if (!to || bytes.size() > envelope_codec::MAX_DATAGRAM_BYTES) {
+            logError("peers.datagram_not_sent", {{"address", datagram.address}, {"bytes", std::to_string(bytes.size())}});
+            continue;
+        }
+        boost::system::error_code ignored; // A datagram that can't be sent counts as lost; the protocol repeats what matters.
+        m_socket.send_to(boost::asio::buffer(bytes), boost::asio::ip::udp::endpoint(to->address(), to->port()), 0, ignored);
+    }
+}
+
+void peer_link::takeEvents()
+{
+    for (const member_event &event : m_engine.takeEvents().members) {
+        logInfo("peers.member_changed",
+                {{"change", toString(event.kind)},
+                 {"member", event.subject.id.str()},
+                 {"address", event.subject.peerAddress},
+                 {"incarnation", std::to_string(event.subject.started.value())},
+                 {"live", std::to_string(livePeers())}});
+    }
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/tier/peer_link.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <array>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/clock.h"
+#include "peer/envelope_codec.h"
+#include "peer/replay_guard.h"
+#include "policy/entry_choice.h"
+#include "policy/gossip_engine.h"
+
+namespace snipefall {
+
+/** This node's part in the membership protocol, on the event loop of the node. */
+class peer_link
+{
+public:
+    /** @p clusterName keeps nodes of other deployments apart. */
+    peer_link(boost::asio::io_context &loop, member self, const std::string &clusterName, std::uint64_t seed);
+
+    /** Binds the node's peer address; returns why that failed, or nothing. */
+    std::optional<std::string> start(const std::vector<std::string> &seeds);
+    /** Addresses of nodes that the platform's store lists. */
+    void setHints(std::vector<std::string> addresses);
+    /** Tells the others that callers are to be sent elsewhere. */
+    void announceStop();
+    /** Tells the others that this node is gone. */
+    void leave();
+
+    /** Live nodes besides this one that take callers. */
+    std::vector<entry_candidate> entries() const;
+    /** Nodes that may be sending to backend servers, this one included; nodes that were lost a short time ago count as well. */
+    std::size_t nodeCount() const;
+    std::size_t livePeers() const { return m_engine.nodes().others().live().size(); }
+
+private:
+    void receive();
+    void handle(const std::string &from, std::string_view bytes);
+    void tick();
+    void send(const std::vector<outgoing_gossip> &datagrams);
+    void takeEvents();
+
+    boost::asio::ip::udp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    member m_self;
+    envelope_codec m_codec;
+    replay_guard m_guard;
+    gossip_engine m_engine;
+    std::map<node_id, time_point> m_lastLive;
+    std::array<char, envelope_codec::MAX_DATAGRAM_BYTES + 1> m_buffer{};
+    boost::asio::ip::udp::endpoint m_sender;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/tier/request_runner.cpp
@@ -0,0 +1,249 @@
+#include "tier/request_runner.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "core/logger.h"
+#include "platform/caller_messages.h"
+#include "platform/sub_answer_reader.h"
+#include "policy/record_merge.h"
+#include "tier/tier_blackboard.h"
+#include "tier/tier_metrics.h"
+
+namespace snipefall {
+
+namespace {
+
+/**
+ * Sub-requests whose answers are no longer needed may run on for this time, because a new connection costs a server more than the rest of most answers; a
+ * server's pause is shorter, too.
+ */
+constexpr duration LOSER_TIME = std::chrono::milliseconds(500);
+/** Backend servers have to be rid of the requests of a caller that left within half a second. */
+constexpr duration CALLER_LEFT_TIME = std::chrono::milliseconds(200);
+
+time_point now()
+{
+    return system_clock().now();
+}
+
+double milliseconds(duration value)
+{
+    return std::chrono::duration<double, std::milli>(value).count();
+}
+
+} // namespace
+
+request_runner::request_runner(environment surroundings,
+                               std::shared_ptr<http_exchange> exchange,
+                               caller_request request,
+                               std::shared_ptr<const route_matcher> routes,
+                               const request_route &route,
+                               std::vector<service_id> services,
+                               const request_times &times)
+    : m_environment(surroundings)
+    , m_exchange(std::move(exchange))
+    , m_request(std::move(request))
+    , m_routes(std::move(routes))
+    , m_route(route)
+    , m_times(times)
+    , m_writer(m_exchange->request())
+    , m_parts(services.size())
+    , m_execution(route, std::move(services), times, surroundings.board.servers, surroundings.board.budget, surroundings.board.latencies)
+    , m_timer(surroundings.loop)
+{
+}
+
+void request_runner::start(std::function<void()> onFinished)
+{
+    m_onFinished = std::move(onFinished);
+    m_exchange->onClientLeft([self = shared_from_this()] { self->callerLeft(); });
+    apply(m_execution.start(now()));
+}
+
+void request_runner::apply(const execution_step &step)
+{
+    if (m_finished) {
+        return;
+    }
+    for (const std::size_t id : step.abandoned) {
+        m_environment.client.limitTo(m_subRequests[id].call, duration::zero());
+    }
+    for (const sub_request_send &order : step.sends) {
+        send(order);
+    }
+    if (step.result) {
+        finish(*step.result);
+        return;
+    }
+    armTimer(step.wakeAt);
+}
+
+void request_runner::send(const sub_request_send &order)
+{
+    const time_point at = now();
+    sub_request item;
+    item.server = order.server;
+    item.sentAt = at;
+    item.part = order.part;
+    item.repeated = order.repeated;
+    if (backend_health *health = m_environment.board.servers.health(order.server.id)) {
+        health->sent(at);
+    }
+    client_call call;
+    call.address = order.server.address;
+    call.bytes = m_writer.write(order.server.id, m_times.deadline - at);
+    call.newConnection = !m_route.idempotent;
+    call.deadline = m_times.deadline;
+    call.belongs = [id = m_request.id](const http_response_message &answer) { return belongsTo(answer, id); };
+    const std::size_t id = order.id;
+    item.call =
+        m_environment.client.start(std::move(call), [self = shared_from_this(), id](client_result result) { self->subRequestEnded(id, std::move(result)); });
+    m_subRequests.resize(std::max(m_subRequests.size(), id + 1));
+    m_subRequests[id] = std::move(item);
+}
+
+void request_runner::subRequestEnded(std::size_t id, client_result result)
+{
+    sub_request &ended = m_subRequests[id];
+    ended.ended = true;
+    const time_point at = now();
+    try_outcome outcome = readSubAnswer(result);
+    if (m_route.isQuery() && outcome == try_outcome::answered && result.response.result_int() >= 300) {
+        outcome = try_outcome::server_error; // A failure is no part of a query's answer, whoever signed it.
+    }
+    const duration latency = at - ended.sentAt;
+    const duration usual = m_environment.board.latencies.usual(m_route.name, latency);
+    if (backend_health *health = m_environment.board.servers.health(ended.server.id)) {
+        health->ended(ended.sentAt, at, outcome, usual > duration::zero() ? static_cast<double>(latency.count()) / static_cast<double>(usual.count()) : 1.0);
+    }
+    if (outcome == try_outcome::answered || outcome == try_outcome::timed_out) {
+        m_environment.board.latencies.record(m_route.name, latency, at);
+    }
+    m_environment.metrics.subRequestEnded(toString(outcome), ended.repeated, latency);
+    if (outcome == try_outcome::timed_out || outcome == try_outcome::lost) {
+        // Other connections to the server may have gone silent or been forgotten by it as well.
+        m_environment.client.closeIdle(ended.server.address);
+    }
+    if (outcome != try_outcome::answered) {
+        logInfo("sub_request.failed",
+                {{"request", m_request.id.str()},
+                 {"route", m_route.name},
+                 {"part", std::to_string(ended.part)},
+                 {"server", ended.server.id.str()},
+                 {"address", ended.server.address},
+                 {"outcome", toString(outcome)},
+                 {"status", std::to_string(result.outcome == client_result::kind::answered ? result.response.result_int() : 0U)},
+                 {"kept_connection", result.reused ? "yes" : "no"},
+                 {"ms", fmt::format("{:.1f}", milliseconds(latency))},
+                 {"after_end", m_finished ? "yes" : "no"}});
+    }
+    if (m_finished) {
+        return;
+    }
+    ended.answer = std::move(result.response);
+    apply(m_execution.subRequestEnded(id, outcome, at));
+}
+
+void request_runner::armTimer(time_point at)
+{
+    m_timer.expires_at(at);
+    m_timer.async_wait([self = shared_from_this()](const boost::system::error_code &cancelled) {
+        if (!cancelled && !self->m_finished) {
+            self->apply(self->m_execution.tick(now()));
+        }
+    });
+}
+
+void request_runner::finish(const execution_result &result)
+{
+    m_finished = true;
+    m_timer.cancel();
+    m_exchange->respond(answerOf(result));
+    limitSubRequests(LOSER_TIME);
+    const bool partial = result.outcome == execution_result::kind::answered && result.missing > 0;
+    logEnd(partial ? "partial" : toString(result.outcome), result.reason, result.missing);
+    m_exchange.reset();
+    m_onFinished();
+}
+
+http_response_message request_runner::answerOf(const execution_result &result) const
+{
+    switch (result.outcome) {
+    case execution_result::kind::answered:
+        break;
+    case execution_result::kind::not_run:
+        return ownAnswer(503, m_request.id, result.reason, result.retryAfter);
+    case execution_result::kind::failed:
+        return ownAnswer(502, m_request.id, result.reason, duration::zero());
+    case execution_result::kind::timed_out:
+        return ownAnswer(504, m_request.id, result.reason, duration::zero());
+    }
+    if (!m_route.isQuery()) {
+        return forwardedAnswer(m_subRequests[result.subRequests.front()].answer);
+    }
+    std::vector<std::string> signatures;
+    std::vector<std::string_view> bodies;
+    for (const std::size_t id : result.subRequests) {
+        signatures.push_back(signatureOf(m_subRequests[id].answer));
+        bodies.emplace_back(m_subRequests[id].answer.body());
+    }
+    return queryAnswer(m_request.id, signatures, result.missing, greatestRecords(bodies, m_route.topRecords));
+}
+
+void request_runner::limitSubRequests(duration linger)
+{
+    for (const sub_request &item : m_subRequests) {
+        if (!item.ended) {
+            m_environment.client.limitTo(item.call, linger);
+        }
+    }
+}
+
+void request_runner::callerLeft()
+{
+    if (m_finished) {
+        return;
+    }
+    m_finished = true;
+    m_timer.cancel();
+    if (m_route.idempotent) {
+        limitSubRequests(CALLER_LEFT_TIME);
+    }
+    logEnd("caller_left", "", m_parts);
+    m_exchange.reset();
+    m_onFinished();
+}
+
+void request_runner::endNow()
+{
+    if (m_finished) {
+        return;
+    }
+    execution_result result;
+    result.outcome = m_subRequests.empty() ? execution_result::kind::not_run : execution_result::kind::failed;
+    result.reason = "node_stopping";
+    finish(result);
+}
+
+void request_runner::logEnd(std::string_view outcome, const std::string &reason, std::size_t missing)
+{
+    const duration latency = now() - m_times.received;
+    const auto repeated = std::count_if(m_subRequests.begin(), m_subRequests.end(), [](const sub_request &item) { return item.repeated; });
+    m_environment.metrics.requestEnded(m_route.name, std::string(outcome), latency);
+    logInfo("request.ended",
+            {{"request", m_request.id.str()},
+             {"route", m_route.name},
+             {"config", std::to_string(m_routes->configuration().version.value())},
+             {"outcome", std::string(outcome)},
+             {"reason", reason.empty() ? "-" : reason},
+             {"parts", std::to_string(m_parts)},
+             {"missing", std::to_string(missing)},
+             {"sent", std::to_string(m_subRequests.size())},
+             {"repeated", std::to_string(repeated)},
+             {"left_ms", fmt::format("{:.0f}", milliseconds(m_times.deadline - m_times.received))},
+             {"ms", fmt::format("{:.1f}", milliseconds(latency))}});
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/tier/request_runner.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/clock.h"
+#include "http/async_http_client.h"
+#include "http/http_exchange.h"
+#include "platform/caller_request.h"
+#include "platform/sub_request_writer.h"
+#include "policy/request_execution.h"
+#include "policy/route_matcher.h"
+
+namespace snipefall {
+
+struct tier_blackboard;
+class tier_metrics;
+
+/** Runs one request of a caller: sends what its execution decides and answers the caller. */
+class request_runner : public std::enable_shared_from_this<request_runner>
+{
+public:
+    /** What all runners of a node use. */
+    struct environment
+    {
+        boost::asio::io_context &loop;
+        async_http_client &client;
+        tier_blackboard &board;
+        tier_metrics &metrics;
+    };
+
+    /** @p routes is the configuration in force, to which the route belongs; the request keeps it to its end. */
+    request_runner(environment surroundings,
+                   std::shared_ptr<http_exchange> exchange,
+                   caller_request request,
+                   std::shared_ptr<const route_matcher> routes,
+                   const request_route &route,
+                   std::vector<service_id> services,
+                   const request_times &times);
+
+    void start(std::function<void()> onFinished);
+    /** Ends the request at once; for a process that is about to stop. */
+    void endNow();
+
+private:
+    struct sub_request
+    {
+        async_http_client::call_id call = 0;
+        backend_choice server;
+        time_point sentAt;
+        std::size_t part = 0;
+        bool repeated = false;
+        bool ended = false;
+        http_response_message answer;
+    };
+
+    void apply(const execution_step &step);
+    void send(const sub_request_send &order);
+    void subRequestEnded(std::size_t id, client_result result);
+    void armTimer(time_point at);
+    void finish(const execution_result &result);
+    http_response_message answerOf(const execution_result &result) const;
+    void limitSubRequests(duration linger);
+    void callerLeft();
+    void logEnd(std::string_view outcome, const std::string &reason, std::size_t missing);
+
+    environment m_environment;
+    std::shared_ptr<http_exchange> m_exchange;
+    caller_request m_request;
+    std::shared_ptr<const route_matcher> m_routes;
+    const request_route &m_route;
+    request_times m_times;
+    sub_request_writer m_writer;
+    std::size_t m_parts;
+    request_execution m_execution;
+    std::vector<sub_request> m_subRequests;
+    boost::asio::steady_timer m_timer;
+    std::function<void()> m_onFinished;
+    bool m_finished = false;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/tier/site_controller.cpp
@@ -0,0 +1,216 @@
+#include "tier/site_controller.h"
+
+#include "core/logger.h"
+#include "platform/site_decoder.h"
+#include "platform/wire_names.h"
+#include "tier/tier_blackboard.h"
+
+namespace snipefall {
+
+namespace {
+
+time_point now()
+{
+    return system_clock().now();
+}
+
+} // namespace
+
+site_controller::site_controller(boost::asio::io_context &loop, store_client &store, tier_blackboard &board, const boot_settings &settings)
+    : m_board(board)
+    , m_configuration(loop,
+                      store,
+                      wire::CONFIGURATION_KIND,
+                      {[this](const object_listing &listing) {
+                           for (const stored_object &object : listing.objects) {
+                               applyConfiguration(object);
+                           }
+                       },
+                       [this](const object_changes &changes) {
+                           for (const object_change &change : changes.changes) {
+                               if (!change.deleted) {
+                                   applyConfiguration(change.object);
+                               }
+                           }
+                       },
+                       [](bool) {}})
+    , m_backends(loop,
+                 store,
+                 wire::BACKENDS_KIND,
+                 {[this](const object_listing &listing) { applyBackends(listing); },
+                  [this](const object_changes &changes) {
+                      for (const object_change &change : changes.changes) {
+                          if (change.deleted) {
+                              logInfo("backend.removed", {{"server", change.object.name}, {"revision", std::to_string(change.object.revision.value())}});
+                              m_board.servers.remove(backend_server_id(change.object.name), now());
+                          } else {
+                              applyBackend(change.object);
+                          }
+                      }
+                  },
+                  [this](bool reachable) {
+                      if (reachable) {
+                          m_board.servers.noteStoreBack(now());
+                      } else {
+                          m_board.servers.noteStoreAway(now());
+                      }
+                  }})
+    , m_domains(loop,
+                store,
+                wire::EXCLUDED_DOMAINS_KIND,
+                {[this](const object_listing &listing) {
+                     m_excludedDomains.clear();
+                     for (const stored_object &object : listing.objects) {
+                         if (!object.deleting) {
+                             m_excludedDomains.insert(failure_domain_id(object.name));
+                         }
+                     }
+                     publishExcludedDomains();
+                 },
+                 [this](const object_changes &changes) {
+                     for (const object_change &change : changes.changes) {
+                         applyExcludedDomain(change.object.name, !change.deleted && !change.object.deleting);
+                     }
+                     publishExcludedDomains();
+                 },
+                 [](bool) {}})
+{
+    setBounds(settings);
+}
+
+void site_controller::start()
+{
+    m_configuration.start();
+    m_backends.start();
+    m_domains.start();
+}
+
+void site_controller::refresh()
+{
+    m_configuration.refresh();
+    m_backends.refresh();
+    m_domains.refresh();
+}
+
+void site_controller::setBounds(const boot_settings &settings)
+{
+    m_warmUpOverrun = settings.warmUpOverrun;
+    m_warmUpSlack = settings.warmUpSlack;
+    publishServiceRules();
+}
+
+void site_controller::expire()
+{
+    for (const backend_server_id &id : m_board.servers.expire(now())) {
+        logInfo("backend.expired", {{"server", id.str()}, {"reason", "not_listed_again_after_store_outage"}});
+    }
+}
+
+void site_controller::applyConfiguration(const stored_object &object)
+{
+    if (object.name != wire::CONFIGURATION_NAME) {
+        return;
+    }
+    std::string problems;
+    outcome<site_configuration> decoded = decodeConfiguration(object.spec, problems);
+    if (!decoded) {
+        logError("configuration.unreadable", {{"revision", std::to_string(object.revision.value())}, {"reason", decoded.reason().message}});
+        return;
+    }
+    if (!problems.empty()) {
+        logError("configuration.incomplete", {{"version", std::to_string(decoded->version.value())}, {"left_out", problems}});
+    }
+    if (m_board.routes && decoded->version <= m_board.routes->configuration().version) {
+        return;
+    }
+    const auto configuration = std::make_shared<const site_configuration>(std::move(decoded).value());
+    m_board.routes = std::make_shared<const route_matcher>(configuration);
+    publishServiceRules();
+    logInfo("configuration.in_force",
+            {{"version", std::to_string(configuration->version.value())},
+             {"revision", std::to_string(object.revision.value())},
+             {"routes", std::to_string(configuration->routes.size())},
+             {"services", std::to_string(configuration->services.size())}});
+    if (m_onConfiguration) {
+        m_onConfiguration(*configuration);
+    }
+}
+
+void site_controller::applyBackend(const stored_object &object)
+{
+    const outcome<backend_entry> entry = decodeBackend(object);
+    if (!entry) {
+        logWarning("backend.unreadable", {{"revision", std::to_string(object.revision.value())}, {"reason", entry.reason().message}});
+        m_board.servers.remove(backend_server_id(object.name), now());
+        return;
+    }
+    const backend_entry *known = m_board.servers.find(entry->id);
+    const bool joined = !known;
+    const bool wasDraining = known && known->draining;
+    if (!m_board.servers.apply(*entry, now())) {
+        logInfo("backend.old_report",
+                {{"server", entry->id.str()}, {"sequence", std::to_string(entry->sequence)}, {"started", std::to_string(entry->startedMs)}});
+        return;
+    }
+    if (joined || entry->draining != wasDraining) {
+        logInfo(joined ? "backend.joined" : "backend.changed",
+                {{"server", entry->id.str()},
+                 {"service", entry->service.str()},
+                 {"address", entry->address},
+                 {"draining", entry->draining ? "yes" : "no"},
+                 {"revision", std::to_string(object.revision.value())}});
+    }
+}
+
+void site_controller::applyBackends(const object_listing &listing)
+{
+    std::vector<backend_entry> entries;
+    std::size_t unreadable = 0;
+    for (const stored_object &object : listing.objects) {
+        outcome<backend_entry> entry = decodeBackend(object);
+        if (!entry) {
+            ++unreadable;
+            logWarning("backend.unreadable", {{"revision", std::to_string(object.revision.value())}, {"reason", entry.reason().message}});
+            continue;
+        }
+        entries.push_back(std::move(entry).value());
+    }
+    m_board.servers.replaceAll(entries, now());
+    m_board.serversKnown = true;
+    logInfo("backends.listed",
+            {{"revision", std::to_string(listing.storeRevision.value())},
+             {"entries", std::to_string(entries.size())},
+             {"unreadable", std::to_string(unreadable)},
+             {"kept", std::to_string(m_board.servers.size())}});
+}
+
+void site_controller::applyExcludedDomain(const std::string &name, bool excluded)
+{
+    if (excluded) {
+        m_excludedDomains.insert(failure_domain_id(name));
+    } else {
+        m_excludedDomains.erase(failure_domain_id(name));
+    }
+}
+
+void site_controller::publishExcludedDomains()
+{
+    if (m_excludedDomains == m_board.servers.excludedDomains()) {
+        return;
+    }
+    std::string names;
+    for (const failure_domain_id &domain : m_excludedDomains) {
+        names += (names.empty() ? "" : ",") + domain.str();
+    }
+    logInfo("domains.taken_out", {{"domains", names.empty() ? "none" : names}});
+    m_board.servers.setExcludedDomains(m_excludedDomains);
+}
+
+void site_controller::publishServiceRules()
+{
+    if (m_board.routes) {
+        m_board.servers.setServiceRules(m_board.routes->configuration().services, m_warmUpOverrun, m_warmUpSlack);
+    }
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/tier/site_controller.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "platform/boot_settings.h"
+#include "tier/object_follower.h"
+
+namespace snipefall {
+
+struct site_configuration;
+struct tier_blackboard;
+
+/** Keeps the blackboard's picture of the site: the configuration, the backend servers and the failure domains that are taken out. */
+class site_controller
+{
+public:
+    site_controller(boost::asio::io_context &loop, store_client &store, tier_blackboard &board, const boot_settings &settings);
+
+    void start();
+    /** Applies bounds that have changed. */
+    void setBounds(const boot_settings &settings);
+    /** Reads everything anew, because what is known may be older than it seems. */
+    void refresh();
+    /** Drops backend servers whose time to be listed again is over. */
+    void expire();
+    /** Called with each configuration that comes into force. */
+    void onConfiguration(std::function<void(const site_configuration &)> handler) { m_onConfiguration = std::move(handler); }
+
+private:
+    void applyConfiguration(const stored_object &object);
+    void applyBackend(const stored_object &object);
+    void applyBackends(const object_listing &listing);
+    void applyExcludedDomain(const std::string &name, bool excluded);
+    void publishExcludedDomains();
+    void publishServiceRules();
+
+    tier_blackboard &m_board;
+    object_follower m_configuration;
+    object_follower m_backends;
+    object_follower m_domains;
+    std::set<failure_domain_id> m_excludedDomains;
+    double m_warmUpOverrun = 1;
+    double m_warmUpSlack = 0;
+    std::function<void(const site_configuration &)> m_onConfiguration;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/tier/tier_process.cpp
@@ -0,0 +1,270 @@
+#include "tier/tier_process.h"
+
+#include <csignal>
+#include <random>
+
+#include "core/logger.h"
+#include "platform/caller_messages.h"
+#include "platform/directory_messages.h"
+
+namespace snipefall {
+
+namespace {
+
+constexpr duration HOUSEKEEPING_INTERVAL = std::chrono::milliseconds(250);
+/** Until it has met its peers, a node takes the number of registered nodes for that of the live ones. */
+constexpr duration JOIN_TIME = std::chrono::seconds(10);
+/** A stopping node accepts new callers until this long before it would be killed: some keep its address for that time. */
+constexpr duration LAST_ACCEPT = std::chrono::milliseconds(900);
+/** A stopping node answers what still runs this long before it would be killed, and ends. */
+constexpr duration LAST_ANSWER = std::chrono::milliseconds(450);
+/** Time in which the last answers leave the process. */
+constexpr duration FLUSH_TIME = std::chrono::milliseconds(150);
+
+std::uint64_t randomSeed()
+{
+    std::random_device device;
+    return (static_cast<std::uint64_t>(device()) << 32U) | device();
+}
+
+member ownRecord(const boot_settings &boot)
+{
+    member self;
+    self.id = boot.node;
+    self.peerAddress = boot.peerAddress;
+    self.callerAddress = boot.callerAddress;
+    self.domain = boot.domain;
+    self.started = incarnation(wallClockMs());
+    return self;
+}
+
+} // namespace
+
+tier_process::tier_process(tier_settings settings, boot_settings boot)
+    : m_settings(std::move(settings))
+    , m_boot(std::move(boot))
+    , m_seed(randomSeed())
+    , m_loop(1)
+    , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
+    , m_housekeepingTimer(m_loop)
+    , m_stopTimer(m_loop)
+    , m_board(m_boot.domain, m_seed)
+    , m_store(m_loop, m_boot.storeAddress)
+    , m_client(m_loop, async_client_options())
+    , m_site(m_loop, m_store, m_board, m_boot)
+    , m_callers({m_loop, m_client, m_board, m_metrics}, m_settings, m_seed + 1)
+    , m_callerServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { m_callers.handle(exchange); })
+    , m_readyServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { answerReady(*exchange); })
+    , m_directoryServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { answerDirectory(*exchange); })
+    , m_metricsServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { answerMetrics(*exchange); })
+    , m_self(ownRecord(m_boot))
+    , m_peers(m_loop, m_self, m_boot.storeAddress, m_seed + 2)
+    , m_register(m_loop,
+                 m_store,
+                 m_self,
+                 [this](std::vector<std::string> addresses) {
+                     m_registeredNodes = addresses.size();
+                     m_peers.setHints(std::move(addresses));
+                 })
+    , m_startedAt(system_clock().now())
+{
+}
+
+std::optional<std::string> tier_process::run()
+{
+    if (auto problem = listen()) {
+        return problem;
+    }
+    logInfo("node.started",
+            {{"node", m_boot.node.str()},
+             {"domain", m_boot.domain.str()},
+             {"callers", m_boot.callerAddress},
+             {"store", m_boot.storeAddress},
+             {"incarnation", std::to_string(m_self.started.value())}});
+    m_site.onConfiguration([this](const site_configuration &configuration) { applyConfiguration(configuration); });
+    applyBoot();
+    m_site.start();
+    waitForSignals();
+    housekeeping();
+    m_loop.run();
+    logInfo("node.stopped", {{"node", m_boot.node.str()}});
+    return std::nullopt;
+}
+
+std::optional<std::string> tier_process::listen()
+{
+    if (auto problem = m_callerServer.listen(m_boot.callerAddress)) {
+        return problem;
+    }
+    if (auto problem = m_readyServer.listen(m_boot.readyAddress)) {
+        return problem;
+    }
+    if (auto problem = m_directoryServer.listen(m_boot.directoryAddress)) {
+        return problem;
+    }
+    if (m_settings.metricsPort != 0) {
+        const std::string ip = m_boot.callerAddress.substr(0, m_boot.callerAddress.rfind(':'));
+        return m_metricsServer.listen(ip + ":" + std::to_string(m_settings.metricsPort));
+    }
+    return std::nullopt;
+}
+
+void tier_process::answerReady(http_exchange &exchange)
+{
+    if (!isReadyQuestion(exchange.request())) {
+        exchange.respond(ownAnswer(404, request_id(), "no_route", duration::zero()));
+        return;
+    }
+    exchange.respond(ownAnswer(m_board.ready() ? 200 : 503, request_id(), m_board.ready() ? "ready" : "not_ready", duration::zero()));
+}
+
+void tier_process::answerDirectory(http_exchange &exchange)
+{
+    const auto callerDomain = readDirectoryQuestion(exchange.request());
+    if (!callerDomain) {
+        exchange.respond(ownAnswer(404, request_id(), "no_route", duration::zero()));
+        return;
+    }
+    std::vector<entry_candidate> candidates = m_peers.entries();
+    if (m_board.ready()) {
+        candidates.push_back({m_boot.callerAddress, m_boot.domain});
+    }
+    if (candidates.empty()) {
+        logInfo("directory.empty", {{"ready", m_board.ready() ? "yes" : "no"}, {"peers", std::to_string(m_peers.livePeers())}});
+        exchange.respond(ownAnswer(503, request_id(), "no_node_ready", duration::zero()));
+        return;
+    }
+    const duration keep = std::min(m_settings.directoryTime, m_boot.longestDirectoryTime);
+    exchange.respond(directoryAnswer(chooseEntries(candidates, *callerDomain), keep));
+}
+
+void tier_process::answerMetrics(http_exchange &exchange)
+{
+    m_metrics.setGauge("backend_servers", static_cast<double>(m_board.servers.size()));
+    m_metrics.setGauge("configuration_version", m_board.routes ? static_cast<double>(m_board.routes->configuration().version.value()) : 0);
+    m_metrics.setGauge("live_peers", static_cast<double>(m_peers.livePeers()));
+    m_metrics.setGauge("caller_connections", static_cast<double>(m_callerServer.openConnections()));
+    m_metrics.setGauge("running_requests", static_cast<double>(m_callers.running()));
+    m_metrics.setGauge("store_calls", static_cast<double>(m_store.calls()));
+    m_metrics.setGauge("backend_connections_opened", static_cast<double>(m_client.connectionsOpened()));
+    http_response_message answer = ownAnswer(200, request_id(), "", duration::zero());
+    answer.body() = m_metrics.text();
+    exchange.respond(std::move(answer));
+}
+
+void tier_process::applyConfiguration(const site_configuration &configuration)
+{
+    async_server_limits limits;
+    limits.headerBytes = configuration.limits.maxHeaderBytes;
+    limits.bodyBytes = configuration.limits.maxBodyBytes;
+    limits.headerTimeout = configuration.limits.headerTimeout;
+    // Callers may still go by the idle time of an earlier version, so it is never shortened in one run.
+    m_idleTimeout = std::max(m_idleTimeout, configuration.limits.idleTimeout);
+    limits.idleTimeout = m_idleTimeout;
+    m_callerServer.setLimits(limits);
+    joinPeersIfReady();
+}
+
+void tier_process::applyBoot()
+{
+    m_site.setBounds(m_boot);
+    const bool joining = system_clock().now() - m_startedAt < JOIN_TIME;
+    const std::size_t nodes = std::max(m_peers.nodeCount(), joining ? m_registeredNodes : 0);
+    m_board.servers.setNodeCount(nodes);
+    m_board.budget.setLimits({m_boot.retryRatio, m_boot.retrySlack, m_boot.retryWindow}, nodes);
+}
+
+void tier_process::joinPeersIfReady()
+{
+    if (m_joined || !m_board.ready()) {
+        return;
+    }
+    m_joined = true;
+    if (const auto problem = m_peers.start(m_boot.seedPeers)) {
+        logError("peers.not_joined", {{"reason", *problem}});
+        return;
+    }
+    m_register.start();
+    logInfo("node.ready", {{"config", std::to_string(m_board.routes->configuration().version.value())}, {"servers", std::to_string(m_board.servers.size())}});
+}
+
+void tier_process::waitForSignals()
+{
+    m_signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error) {
+            return;
+        }
+        if (signal == SIGHUP) {
+            reload("signal");
+        } else if (!m_board.stopping) {
+            beginStop();
+        }
+        waitForSignals();
+    });
+}
+
+void tier_process::reload(std::string_view cause)
+{
+    outcome<boot_settings> read = readBootSettings(m_settings.bootFile);
+    if (!read) {
+        logError("settings.not_reloaded", {{"cause", std::string(cause)}, {"reason", read.reason().message}});
+        return;
+    }
+    m_boot = std::move(read).value();
+    applyBoot();
+    logInfo("settings.reloaded", {{"cause", std::string(cause)}, {"retry_ratio", std::to_string(m_boot.retryRatio)}});
+}
+
+void tier_process::housekeeping()
+{
+    if (const auto suspended = m_suspensions.check()) {
+        logWarning("node.was_suspended", {{"ms", std::to_string(suspended->count() / 1000)}});
+        m_site.refresh();
+    }
+    m_site.expire();
+    applyBoot();
+    joinPeersIfReady();
+    after(m_housekeepingTimer, HOUSEKEEPING_INTERVAL, &tier_process::housekeeping);
+}
+
+void tier_process::beginStop()
+{
+    logInfo("node.stopping", {{"running", std::to_string(m_callers.running())}, {"connections", std::to_string(m_callerServer.openConnections())}});
+    m_board.stopping = true;
+    m_callerServer.closeAfterResponses();
+    if (m_joined) {
+        m_peers.announceStop();
+        m_register.remove();
+    }
+    after(m_stopTimer, std::max<duration>(m_boot.graceTime - LAST_ACCEPT, duration::zero()), &tier_process::endService);
+}
+
+void tier_process::endService()
+{
+    m_callerServer.stopAccepting();
+    m_callerServer.closeIdle();
+    after(m_stopTimer, LAST_ACCEPT - LAST_ANSWER, &tier_process::endProcess);
+}
+
+void tier_process::endProcess()
+{
+    logInfo("node.last_answers", {{"running", std::to_string(m_callers.running())}});
+    m_callers.endAll();
+    if (m_joined) {
+        m_peers.leave();
+    }
+    m_stopTimer.expires_after(FLUSH_TIME);
+    m_stopTimer.async_wait([this](const boost::system::error_code &) { m_loop.stop(); });
+}
+
+void tier_process::after(boost::asio::steady_timer &timer, duration pause, void (tier_process::*action)())
+{
+    timer.expires_after(pause);
+    timer.async_wait([this, action](const boost::system::error_code &cancelled) {
+        if (!cancelled) {
+            (this->*action)();
+        }
+    });
+}
+
+} // namespace snipefall
