--- a/core/logger.cpp
+++ b/core/logger.cpp
@@ -1,13 +1,15 @@
 #include "core/logger.h"
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <cstdio>
 #include <map>
 #include <mutex>
 
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <poll.h>
+#include <unistd.h>
 
 #include "core/clock.h"
 
@@ -16,6 +18,8 @@
 namespace {
 
 constexpr int MAX_LINES_PER_EVENT_PER_SECOND = 20;
+/** A pipe that is ready to be written to takes this many bytes without blocking (PIPE_BUF). */
+constexpr std::size_t MAX_LINE_BYTES = 4096;
 
 struct event_rate
 {
@@ -25,6 +29,8 @@
 };
 
 std::atomic<log_level> s_level{log_level::info};
+std::atomic<int> s_descriptor{STDOUT_FILENO};
+std::uint64_t s_dropped = 0; ///< Lines that could not be written without blocking; guarded by s_mutex.
 std::mutex s_mutex;
 
 std::map<std::string, event_rate, std::less<>> &eventRates()
@@ -54,6 +60,16 @@
     return text + '"';
 }
 
+/** Writes the line if that does not block. */
+bool writeWithoutBlocking(const std::string &line)
+{
+    pollfd ready{s_descriptor, POLLOUT, 0};
+    if (poll(&ready, 1, 0) != 1 || (ready.revents & POLLOUT) == 0) {
+        return false;
+    }
+    return write(ready.fd, line.data(), line.size()) == static_cast<ssize_t>(line.size());
+}
+
 } // namespace
 
 std::optional<log_level> parseLogLevel(std::string_view text)
@@ -86,6 +102,11 @@
     s_level = level;
 }
 
+void setLogDescriptor(int descriptor)
+{
+    s_descriptor = descriptor;
+}
+
 void writeLog(log_level level, std::string_view event, std::initializer_list<log_field> fields)
 {
     if (level < s_level.load(std::memory_order_relaxed)) {
@@ -115,7 +136,16 @@
         line += fmt::format(" suppressed={}", rate.suppressed);
         rate.suppressed = 0;
     }
-    fmt::print(stderr, "{}\n", line);
+    if (s_dropped > 0) {
+        line += fmt::format(" dropped={}", s_dropped);
+    }
+    line.resize(std::min(line.size(), MAX_LINE_BYTES - 1));
+    line += '\n';
+    if (writeWithoutBlocking(line)) {
+        s_dropped = 0;
+    } else {
+        ++s_dropped;
+    }
 }
 
 } // namespace snipefall
--- /dev/null
+++ b/tests/http/scripted_server.cpp
@@ -0,0 +1,74 @@
+#include "tests/http/scripted_server.h"
+
+#include <algorithm>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+scripted_server::scripted_server(std::vector<reply> script)
+    : m_script(std::move(script))
+{
+    m_listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    ::listen(m_listener, 64);
+    socklen_t size = sizeof(address);
+    ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
+    m_port = ntohs(address.sin_port);
+    m_acceptor = std::thread([this] { run(); });
+}
+
+scripted_server::~scripted_server()
+{
+    ::shutdown(m_listener, SHUT_RDWR);
+    m_acceptor.join();
+    ::close(m_listener);
+    for (std::thread &thread : m_threads) {
+        thread.join();
+    }
+}
+
+void scripted_server::run()
+{
+    while (true) {
+        const int socket = ::accept(m_listener, nullptr, nullptr);
+        if (socket < 0) {
+            return;
+        }
+        ++m_connections;
+        m_threads.emplace_back([this, socket] { serve(socket); });
+    }
+}
+
+void scripted_server::serve(int socket)
+{
+    std::string received;
+    char buffer[4096];
+    while (true) {
+        // The requests of these tests end with their header, or with the body "body".
+        while (received.find("\r\n\r\n") == std::string::npos) {
+            const ssize_t count = ::recv(socket, buffer, sizeof(buffer), 0);
+            if (count <= 0) {
+                ::close(socket);
+                return;
+            }
+            received.append(buffer, static_cast<std::size_t>(count));
+        }
+        received.clear();
+        const reply &next = m_script[std::min<std::size_t>(m_requests++, m_script.size() - 1)];
+        ::send(socket, next.bytes.data(), next.bytes.size(), MSG_NOSIGNAL);
+        if (next.then == reply::end::keep) {
+            continue;
+        }
+        if (next.then == reply::end::reset) {
+            const linger abort{1, 0};
+            ::setsockopt(socket, SOL_SOCKET, SO_LINGER, &abort, sizeof(abort));
+        }
+        ::close(socket);
+        return;
+    }
+}
--- /dev/null
+++ b/tests/http/scripted_server.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+/** A server over plain sockets that sends given bytes in answer to each request. */
+class scripted_server
+{
+public:
+    /** What is sent once a request was read, and what happens to the connection then. */
+    struct reply
+    {
+        std::string bytes;
+        enum class end
+        {
+            keep,
+            close,
+            reset,
+        } then = end::keep;
+    };
+
+    /** The n-th request meets the n-th reply, further ones the last. */
+    explicit scripted_server(std::vector<reply> script);
+    ~scripted_server();
+    scripted_server(const scripted_server &) = delete;
+    scripted_server &operator=(const scripted_server &) = delete;
+
+    std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
+    unsigned requests() const { return m_requests; }
+    unsigned connections() const { return m_connections; }
+
+private:
+    void run();
+    void serve(int socket);
+
+    const std::vector<reply> m_script;
+    int m_listener = -1;
+    unsigned short m_port = 0;
+    std::atomic<unsigned> m_requests{0};
+    std::atomic<unsigned> m_connections{0};
+    std::thread m_acceptor;
+    std::vector<std::thread> m_threads;
+};
--- /dev/null
+++ b/tests/http/test_async_http_client.cpp
@@ -0,0 +1,145 @@
+#include <boost/asio/io_context.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "http/async_http_client.h"
+#include "tests/http/scripted_server.h"
+#include "tests/stand_ins/free_port.h"
+
+using namespace snipefall;
+using end = scripted_server::reply::end;
+using kind = client_result::kind;
+
+namespace {
+
+const std::string OK = "HTTP/1.1 200 OK\r\nRequest-Id: r\r\nContent-Length: 2\r\n\r\nok";
+const std::string OTHER = "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nContent-Length: 5\r\n\r\nother";
+
+struct answer_case
+{
+    const char *name;
+    scripted_server::reply reply;
+    kind outcome;
+    const char *body;
+    bool kept; ///< Whether a second call uses the same connection.
+};
+
+std::ostream &operator<<(std::ostream &out, const answer_case &row)
+{
+    return out << row.name;
+}
+
+const answer_case ANSWER_CASES[] = {
+    {"a whole answer", {OK, end::keep}, kind::answered, "ok", true},
+    {"a whole answer, then the end", {OK, end::close}, kind::answered, "ok", false},
+    {"an answer to an earlier request first", {OTHER + OK, end::keep}, kind::answered, "ok", true},
+    {"only an answer to an earlier request", {OTHER, end::close}, kind::lost, "", false},
+    {"bytes after the answer", {OK + "HTTP/1.1 200 OK\r\n", end::keep}, kind::answered, "ok", false},
+    {"the server wants to close", {"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", end::keep}, kind::answered, "ok", false},
+    {"no length, a clean end", {"HTTP/1.1 200 OK\r\n\r\nto the end", end::close}, kind::answered, "to the end", false},
+    {"no length, a reset", {"HTTP/1.1 200 OK\r\n\r\ncut", end::reset}, kind::lost, "", false},
+    {"chunks", {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", end::keep}, kind::answered, "abc", true},
+    {"chunks that end early", {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n", end::close}, kind::lost, "", false},
+    {"a body that ends early", {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut", end::close}, kind::lost, "", false},
+    {"a header that ends early", {"HTTP/1.1 200 OK\r\nConte", end::close}, kind::lost, "", false},
+    {"nothing", {"", end::close}, kind::lost, "", false},
+    {"a reset", {"", end::reset}, kind::lost, "", false},
+    {"other bytes", {"\x01\x02nonsense\r\n\r\n", end::keep}, kind::malformed, "", false},
+    {"silence", {"", end::keep}, kind::timed_out, "", false},
+};
+
+struct client_fixture
+{
+    client_result call(const std::string &address, bool newConnection = false)
+    {
+        client_call request;
+        request.address = address;
+        request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        request.newConnection = newConnection;
+        request.deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
+        request.belongs = [](const http_response_message &answer) { return answer["Request-Id"].empty() || answer["Request-Id"] == "r"; };
+        std::optional<client_result> result;
+        client.start(std::move(request), [&result](client_result ended) { result = std::move(ended); });
+        while (!result) {
+            loop.run_one();
+        }
+        return std::move(*result);
+    }
+
+    boost::asio::io_context loop;
+    async_http_client client{loop, async_client_options()};
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(async_http_client_tests)
+
+// Guards against cut, foreign or spoiled bytes being taken for an answer, and against a spoiled connection being used again.
+BOOST_DATA_TEST_CASE(answersAreWholeOrFailures, boost::unit_test::data::make(ANSWER_CASES), row)
+{
+    scripted_server server({row.reply, {OK, end::keep}});
+    {
+        client_fixture fixture;
+        const client_result first = fixture.call(server.address());
+        BOOST_TEST((first.outcome == row.outcome));
+        BOOST_TEST(first.response.body() == row.body);
+        const client_result second = fixture.call(server.address());
+        BOOST_TEST((second.outcome == kind::answered));
+        BOOST_TEST(second.reused == row.kept);
+    }
+    BOOST_TEST(server.requests() == 2U);
+}
+
+// Guards against a request that is sent again without the caller's knowledge.
+BOOST_AUTO_TEST_CASE(nothingIsSentTwice)
+{
+    scripted_server server({{OK, end::keep}, {"", end::close}, {OK, end::keep}});
+    {
+        client_fixture fixture;
+        BOOST_TEST((fixture.call(server.address()).outcome == kind::answered));
+        BOOST_TEST((fixture.call(server.address()).outcome == kind::lost));
+    }
+    BOOST_TEST(server.requests() == 2U);
+}
+
+// Guards against requests that may not run twice going out on a connection that the server may have forgotten.
+BOOST_AUTO_TEST_CASE(newConnectionsOnRequest)
+{
+    scripted_server server({{OK, end::keep}});
+    {
+        client_fixture fixture;
+        fixture.call(server.address());
+        BOOST_TEST(!fixture.call(server.address(), true).reused);
+    }
+    BOOST_TEST(server.connections() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(unreachableServersAreNotSentTo)
+{
+    client_fixture fixture;
+    BOOST_TEST((fixture.call("127.0.0.1:" + std::to_string(freePort())).outcome == kind::not_sent));
+    BOOST_TEST((fixture.call("nonsense").outcome == kind::not_sent));
+}
+
+// Guards against an abandoned call that keeps its connection and the server's slot.
+BOOST_AUTO_TEST_CASE(limitedCallsEndEarly)
+{
+    scripted_server server({{"", end::keep}});
+    {
+        client_fixture fixture;
+        client_call request;
+        request.address = server.address();
+        request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+        request.deadline = std::chrono::steady_clock::now() + std::chrono::hours(1);
+        std::optional<client_result> result;
+        const auto id = fixture.client.start(std::move(request), [&result](client_result ended) { result = std::move(ended); });
+        fixture.client.limitTo(id, std::chrono::milliseconds(20));
+        while (!result) {
+            fixture.loop.run_one();
+        }
+        BOOST_TEST((result->outcome == kind::timed_out || result->outcome == kind::not_sent));
+        BOOST_TEST(fixture.client.connectionsTo(server.address()) == 0U);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/test_caller_messages.cpp
@@ -0,0 +1,154 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "platform/caller_messages.h"
+#include "platform/directory_messages.h"
+#include "platform/sub_answer_reader.h"
+#include "platform/sub_request_writer.h"
+
+using namespace snipefall;
+namespace http = boost::beast::http;
+
+namespace {
+
+http_request_message requestOf(const std::vector<std::pair<std::string, std::string>> &headers, const std::string &body = "")
+{
+    http_request_message request(body.empty() ? http::verb::get : http::verb::post, "/a/b?c=d", 11);
+    for (const auto &[name, value] : headers) {
+        request.insert(name, value);
+    }
+    request.body() = body;
+    return request;
+}
+
+struct request_case
+{
+    const char *name;
+    std::vector<std::pair<std::string, std::string>> headers;
+    bool accepted;
+};
+
+std::ostream &operator<<(std::ostream &out, const request_case &row)
+{
+    return out << row.name;
+}
+
+const request_case REQUEST_CASES[] = {
+    {"all there", {{"Host", "h"}, {"Request-Id", "r1"}, {"Deadline-Ms", "500"}}, true},
+    {"no time left stated", {{"Host", "h"}, {"Request-Id", "r1"}}, true},
+    {"no id", {{"Host", "h"}, {"Deadline-Ms", "500"}}, false},
+    {"two ids", {{"Host", "h"}, {"Request-Id", "r1"}, {"Request-Id", "r2"}}, false},
+    {"no host", {{"Request-Id", "r1"}}, false},
+    {"two hosts", {{"Host", "h"}, {"Host", "g"}, {"Request-Id", "r1"}}, false},
+    {"time left that is no number", {{"Host", "h"}, {"Request-Id", "r1"}, {"Deadline-Ms", "5s"}}, false},
+    {"negative time left", {{"Host", "h"}, {"Request-Id", "r1"}, {"Deadline-Ms", "-5"}}, false},
+};
+
+struct answer_case
+{
+    const char *name;
+    client_result::kind kind;
+    unsigned status;
+    std::vector<std::pair<std::string, std::string>> headers;
+    try_outcome outcome;
+};
+
+std::ostream &operator<<(std::ostream &out, const answer_case &row)
+{
+    return out << row.name;
+}
+
+const answer_case ANSWER_CASES[] = {
+    {"a signed success", client_result::kind::answered, 200, {{"Server-Stamp", "s"}}, try_outcome::answered},
+    {"an unsigned success", client_result::kind::answered, 200, {}, try_outcome::malformed},
+    {"a signed refusal of the caller", client_result::kind::answered, 404, {{"Server-Stamp", "s"}}, try_outcome::answered},
+    {"a failure", client_result::kind::answered, 500, {{"Server-Stamp", "s"}}, try_outcome::server_error},
+    {"a deadline that passed", client_result::kind::answered, 504, {{"Server-Stamp", "s"}}, try_outcome::server_error},
+    {"a full server", client_result::kind::answered, 503, {{"Not-Executed", "1"}}, try_outcome::not_run},
+    {"503 that does not say that nothing ran", client_result::kind::answered, 503, {}, try_outcome::server_error},
+    {"another server", client_result::kind::answered, 421, {{"Instance-Id", "i"}}, try_outcome::wrong_server},
+    {"no connection", client_result::kind::not_sent, 0, {}, try_outcome::unreachable},
+    {"a lost answer", client_result::kind::lost, 0, {}, try_outcome::lost},
+    {"other bytes", client_result::kind::malformed, 0, {}, try_outcome::malformed},
+    {"no answer in time", client_result::kind::timed_out, 0, {}, try_outcome::timed_out},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(caller_messages_tests)
+
+BOOST_DATA_TEST_CASE(readsRequests, boost::unit_test::data::make(REQUEST_CASES), row)
+{
+    const outcome<caller_request> read = readCallerRequest(requestOf(row.headers));
+    BOOST_TEST(read.hasValue() == row.accepted);
+    if (read) {
+        BOOST_TEST(read->id.str() == "r1");
+        BOOST_TEST(read->target == "/a/b?c=d");
+    }
+}
+
+// Guards against "may have run" and "did not run" being mixed up.
+BOOST_DATA_TEST_CASE(readsTheEndOfSubRequests, boost::unit_test::data::make(ANSWER_CASES), row)
+{
+    client_result result;
+    result.outcome = row.kind;
+    result.response.result(row.status);
+    for (const auto &[name, value] : row.headers) {
+        result.response.set(name, value);
+    }
+    BOOST_TEST((readSubAnswer(result) == row.outcome));
+}
+
+// Guards against a changed request at the backend server, and against headers of the caller's connection reaching it.
+BOOST_AUTO_TEST_CASE(writesSubRequests)
+{
+    const sub_request_writer writer(requestOf({{"Host", "h"},
+                                               {"Request-Id", "r1"},
+                                               {"Deadline-Ms", "500"},
+                                               {"Expect-Instance", "forged"},
+                                               {"Connection", "keep-alive, X-Hop"},
+                                               {"X-Hop", "1"},
+                                               {"Transfer-Encoding", "chunked"},
+                                               {"X-Kept", "2"}},
+                                              "body"));
+    const std::string bytes = writer.write(backend_server_id("i-1"), std::chrono::microseconds(123999));
+    BOOST_TEST(bytes == "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nX-Kept: 2\r\nContent-Length: 4\r\nDeadline-Ms: 123\r\nExpect-Instance: i-1\r\n\r\nbody");
+}
+
+// Guards against an answer that belongs to another request.
+BOOST_AUTO_TEST_CASE(answersNameTheirRequest)
+{
+    http_response_message answer;
+    BOOST_TEST(belongsTo(answer, request_id("r1")));
+    answer.set("Request-Id", "r2");
+    BOOST_TEST(!belongsTo(answer, request_id("r1")));
+    BOOST_TEST(belongsTo(answer, request_id("r2")));
+}
+
+BOOST_AUTO_TEST_CASE(labelsQueryAnswers)
+{
+    const http_response_message answer = queryAnswer(request_id("r1"), {"s1", "s2"}, 3, "records");
+    BOOST_TEST(answer.result_int() == 200U);
+    BOOST_TEST(std::string(answer["Part-Stamps"]) == "s1, s2");
+    BOOST_TEST(std::string(answer["Missing-Parts"]) == "3");
+    BOOST_TEST(answer.body() == "records");
+}
+
+BOOST_AUTO_TEST_CASE(refusalsSayWhenToComeBack)
+{
+    const http_response_message answer = ownAnswer(503, request_id("r1"), "no_server", std::chrono::milliseconds(125));
+    BOOST_TEST(std::string(answer[http::field::retry_after]) == "0.125");
+    BOOST_TEST(ownAnswer(504, request_id("r1"), "late", duration::zero()).count(http::field::retry_after) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(answersTheDirectory)
+{
+    http_request_message question(http::verb::get, "/snipefall/resolve?name=h&region=r&zone=z1", 11);
+    BOOST_REQUIRE(readDirectoryQuestion(question).has_value());
+    BOOST_TEST(readDirectoryQuestion(question)->str() == "z1");
+    question.target("/snipefall/resolved?zone=z1");
+    BOOST_TEST(!readDirectoryQuestion(question).has_value());
+    BOOST_TEST(directoryAnswer({"10.0.0.1:80"}, std::chrono::seconds(2)).body() == R"({"addrs":["10.0.0.1:80"],"ttl_s":2.0})");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/test_site_decoder.cpp
@@ -0,0 +1,147 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "platform/site_decoder.h"
+
+using namespace snipefall;
+
+namespace {
+
+json wholeEntry()
+{
+    return json::parse(R"({"service": "s", "address": "10.0.0.1:80", "zone": "z", "version": "v1", "slots": 2, "state": "ready",
+                           "warmup_left_ms": 1500, "seq_no": 4, "born": 77})");
+}
+
+json wholeConfiguration()
+{
+    return json::parse(R"({"version": 7, "routes": [
+        {"name": "r1", "host": "h", "path_prefix": "/a/", "route_kind": "idempotent", "timeout_ms": 800, "target_latency_ms": 50, "priority": 2,
+         "gather": ["s1", "s2"], "attempts": 2, "top_k": 5, "min_coverage": 0.75},
+        {"name": "r2", "host": "h", "path_prefix": "/b/", "route_kind": "non_idempotent", "timeout_ms": 6000, "service": "s3", "attempts": 3},
+        {"name": "r3", "host": "h", "path_prefix": "/c/", "route_kind": "idempotent", "timeout_ms": 6000,
+         "weighted_split": [{"service": "s3", "weight": 3}, {"service": "s4", "weight": 1}]}],
+        "services": [{"name": "s1", "health_path": "/health", "max_conns": 26, "warmup_s": 3.0, "warmup_per_s": 12.5}],
+        "limits": {"max_header_bytes": 1000, "max_body_bytes": 2000, "header_timeout_ms": 300, "idle_timeout_ms": 4000}})");
+}
+
+struct change_case
+{
+    const char *name;
+    const char *pointer;
+    json value; ///< Null removes the field.
+};
+
+std::ostream &operator<<(std::ostream &out, const change_case &row)
+{
+    return out << row.name;
+}
+
+const change_case BAD_ENTRIES[] = {
+    {"no service", "/service", nullptr},
+    {"an empty service", "/service", ""},
+    {"no address", "/address", nullptr},
+    {"an address of another type", "/address", 5},
+    {"no failure domain", "/zone", nullptr},
+    {"an unknown state", "/state", "asleep"},
+    {"no state", "/state", nullptr},
+    {"slots as a text", "/slots", "2"},
+    {"no slots", "/slots", 0},
+    {"negative slots", "/slots", -1},
+    {"no sequence", "/seq_no", nullptr},
+    {"a sequence with a fraction", "/seq_no", 1.5},
+    {"a negative warm-up", "/warmup_left_ms", -5},
+    {"no warm-up", "/warmup_left_ms", nullptr},
+    {"a start time with a fraction", "/born", 1.5},
+    {"no version", "/version", nullptr},
+};
+
+const change_case BAD_ROUTES[] = {
+    {"no name", "/name", nullptr},
+    {"no host", "/host", nullptr},
+    {"no prefix", "/path_prefix", nullptr},
+    {"no kind", "/route_kind", nullptr},
+    {"no timeout", "/timeout_ms", nullptr},
+    {"a negative timeout", "/timeout_ms", -1},
+    {"a shard that is no text", "/gather", json::array({1})},
+};
+
+json changed(json document, const change_case &row)
+{
+    const json::json_pointer at(row.pointer);
+    if (row.value.is_null()) {
+        document[at.parent_pointer()].erase(at.back());
+    } else {
+        document[at] = row.value;
+    }
+    return document;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(site_decoder_tests)
+
+BOOST_AUTO_TEST_CASE(decodesAnEntry)
+{
+    const outcome<backend_entry> entry = decodeBackend({"i-1", object_version(9), false, wholeEntry(), nullptr});
+    BOOST_REQUIRE(entry.hasValue());
+    BOOST_TEST(entry->id.str() == "i-1");
+    BOOST_TEST(entry->service.str() == "s");
+    BOOST_TEST(entry->slots == 2U);
+    BOOST_TEST(!entry->draining);
+    BOOST_TEST((entry->warmUpLeft == std::chrono::milliseconds(1500)));
+    BOOST_TEST(entry->startedMs == 77U);
+    BOOST_TEST(decodeBackend({"i-1", object_version(9), true, wholeEntry(), nullptr})->draining);
+}
+
+// Guards against requests to servers that a foreign writer made up.
+BOOST_DATA_TEST_CASE(entriesOfForeignWritersAreRefused, boost::unit_test::data::make(BAD_ENTRIES), row)
+{
+    BOOST_TEST(!decodeBackend({"i-1", object_version(9), false, changed(wholeEntry(), row), nullptr}).hasValue());
+}
+
+BOOST_AUTO_TEST_CASE(decodesAConfiguration)
+{
+    std::string problems;
+    const outcome<site_configuration> configuration = decodeConfiguration(wholeConfiguration(), problems);
+    BOOST_REQUIRE(configuration.hasValue());
+    BOOST_TEST(problems == "");
+    BOOST_TEST(configuration->version.value() == 7U);
+    BOOST_REQUIRE(configuration->routes.size() == 3U);
+    const request_route &query = configuration->routes[0];
+    BOOST_TEST(query.isQuery());
+    BOOST_TEST(query.idempotent);
+    BOOST_TEST(query.shards.size() == 2U);
+    BOOST_TEST(query.topRecords == 5U);
+    BOOST_TEST(query.maxServers == 2U);
+    BOOST_TEST(query.minCoverage == 0.75);
+    BOOST_TEST((query.targetLatency == std::chrono::milliseconds(50)));
+    BOOST_TEST(!configuration->routes[1].idempotent);
+    BOOST_TEST(configuration->routes[2].targets.size() == 2U);
+    BOOST_TEST(configuration->services.at(service_id("s1")).maxConnections == 26U);
+    BOOST_TEST(configuration->limits.maxBodyBytes == 2000U);
+    BOOST_TEST((configuration->limits.idleTimeout == std::chrono::seconds(4)));
+}
+
+// Guards against one bad route taking all others out of force.
+BOOST_DATA_TEST_CASE(badRoutesAreLeftOut, boost::unit_test::data::make(BAD_ROUTES), row)
+{
+    json document = wholeConfiguration();
+    document["routes"][0] = changed(document["routes"][0], row);
+    std::string problems;
+    const outcome<site_configuration> configuration = decodeConfiguration(document, problems);
+    BOOST_REQUIRE(configuration.hasValue());
+    BOOST_TEST(configuration->routes.size() == 2U);
+    BOOST_TEST(problems != "");
+}
+
+BOOST_AUTO_TEST_CASE(configurationsWithoutVersionOrRoutesAreRefused)
+{
+    std::string problems;
+    BOOST_TEST(!decodeConfiguration(json::parse(R"({"routes": []})"), problems).hasValue());
+    BOOST_TEST(!decodeConfiguration(json::parse(R"({"version": 3})"), problems).hasValue());
+    BOOST_TEST(!decodeConfiguration(json::parse(R"({"version": -3, "routes": []})"), problems).hasValue());
+    BOOST_TEST(!decodeConfiguration(json(5), problems).hasValue());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/platform/test_wire_names.cpp
@@ -0,0 +1,48 @@
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <sstream>
+
+#include <boost/test/unit_test.hpp>
+
+namespace {
+
+namespace fs = std::filesystem;
+
+/** Names that only the platform uses; words that the project uses as well, such as "version", are not among them. */
+const std::regex PLATFORM_NAMES(
+    R"(Server-Stamp|Expect-Instance|Not-Executed|Part-Stamps|Missing-Parts|Deadline-Ms|Warmup-Ms|/snipefall/|seq_no|warmup_left_ms|warmup_per_s|)"
+    R"(path_prefix|route_kind|weighted_split|target_latency_ms|top_k|max_conns|finish_by_s|listen_addrs|fault_tolerance|store_revision|)"
+    R"("gather"|"evacuations"|"rollouts"|stale_ok|retry_budget_ratio|retry_slack")");
+
+std::string textOf(const fs::path &path)
+{
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(wire_names_tests)
+
+// Guards against the platform's names spreading into the product.
+BOOST_AUTO_TEST_CASE(platformNamesStandOnlyInTheAdapter)
+{
+    std::size_t files = 0;
+    for (const char *folder : {"core", "blackboard", "policy", "http", "peer", "store", "tier", "node", "cli"}) {
+        for (const auto &entry : fs::recursive_directory_iterator(fs::path(SNIPEFALL_SOURCE_DIR) / folder)) {
+            const std::string extension = entry.path().extension().string();
+            if (extension != ".h" && extension != ".cpp") {
+                continue;
+            }
+            ++files;
+            std::smatch match;
+            const std::string text = textOf(entry.path());
+            BOOST_TEST(!std::regex_search(text, match, PLATFORM_NAMES), entry.path().string() + ": " + match.str());
+        }
+    }
+    BOOST_TEST(files > 100U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/policy/test_backend_table.cpp
@@ -0,0 +1,207 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "policy/backend_table.h"
+
+using namespace snipefall;
+
+namespace {
+
+constexpr duration USUAL = std::chrono::milliseconds(10);
+const service_id SERVICE("shard-1");
+const failure_domain_id HERE("here");
+const failure_domain_id THERE("there");
+const time_point START{std::chrono::hours(1)};
+
+backend_entry entryOf(const std::string &id, const failure_domain_id &domain = HERE)
+{
+    backend_entry entry;
+    entry.id = backend_server_id(id);
+    entry.service = SERVICE;
+    entry.address = "10.0.0.1:" + std::to_string(1000 + id.size());
+    entry.domain = domain;
+    entry.version = version_id("v1");
+    entry.slots = 2;
+    entry.startedMs = 100;
+    entry.sequence = 5;
+    return entry;
+}
+
+std::string chosen(backend_table &table, time_point now, const std::vector<backend_server_id> &excluded = {})
+{
+    const auto choice = table.choose(SERVICE, excluded, backend_table::suspended_servers::avoided, USUAL, now);
+    return choice ? choice->id.str() : "";
+}
+
+struct report_case
+{
+    const char *name;
+    std::uint64_t startedMs;
+    std::uint64_t sequence;
+    bool accepted;
+};
+
+std::ostream &operator<<(std::ostream &out, const report_case &row)
+{
+    return out << row.name;
+}
+
+const report_case REPORT_CASES[] = {
+    {"the next report of the same run", 100, 6, true},
+    {"the same report", 100, 5, true},
+    {"an older report of the same run", 100, 4, false},
+    {"a later run, whose reports count anew", 200, 1, true},
+    {"an earlier run", 50, 9, false},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(backend_table_tests)
+
+// Guards against reports that arrive late and bring a state back that is over.
+BOOST_DATA_TEST_CASE(olderReportsAreLeftOut, boost::unit_test::data::make(REPORT_CASES), row)
+{
+    backend_table table(HERE, 1);
+    table.apply(entryOf("a"), START);
+    backend_entry report = entryOf("a");
+    report.startedMs = row.startedMs;
+    report.sequence = row.sequence;
+    report.draining = true;
+    BOOST_TEST(table.apply(report, START) == row.accepted);
+    BOOST_TEST(chosen(table, START) == (row.accepted ? "" : "a"));
+}
+
+// Guards against requests to servers that leave or whose failure domain was taken out.
+BOOST_AUTO_TEST_CASE(leavingServersAndExcludedDomainsGetNothing)
+{
+    backend_table table(HERE, 1);
+    table.apply(entryOf("a", THERE), START);
+    BOOST_TEST(chosen(table, START) == "a");
+    table.setExcludedDomains({THERE});
+    BOOST_TEST(chosen(table, START) == "");
+    BOOST_TEST(!table.hasServer(SERVICE, START));
+    table.setExcludedDomains({});
+    backend_entry draining = entryOf("a", THERE);
+    draining.draining = true;
+    table.apply(draining, START);
+    BOOST_TEST(chosen(table, START) == "");
+}
+
+// Guards against all servers being dropped at once because the store lost its entries while it was away.
+BOOST_AUTO_TEST_CASE(entriesLostInAnOutageAreKeptUntilTheyHadTimeToReturn)
+{
+    backend_table table(HERE, 1);
+    table.apply(entryOf("a"), START);
+    table.noteStoreAway(START);
+    const time_point back = START + std::chrono::seconds(5);
+    table.noteStoreBack(back);
+    table.replaceAll({}, back);
+    BOOST_TEST(table.expire(back + std::chrono::milliseconds(1900)).empty());
+    BOOST_TEST(chosen(table, back + std::chrono::milliseconds(1900)) == "a");
+    BOOST_TEST(table.expire(back + std::chrono::milliseconds(3000)).size() == 1U);
+    BOOST_TEST(chosen(table, back + std::chrono::milliseconds(3000)) == "");
+}
+
+// Guards against a server that came back being dropped with those that did not.
+BOOST_AUTO_TEST_CASE(entriesThatReturnStay)
+{
+    backend_table table(HERE, 1);
+    table.apply(entryOf("a"), START);
+    table.noteStoreAway(START);
+    table.remove(backend_server_id("a"), START + std::chrono::seconds(4));
+    table.noteStoreBack(START + std::chrono::seconds(5));
+    table.apply(entryOf("a"), START + std::chrono::seconds(6));
+    BOOST_TEST(table.expire(START + std::chrono::seconds(60)).empty());
+    BOOST_TEST(chosen(table, START + std::chrono::seconds(60)) == "a");
+}
+
+// Guards against a removed server being kept while the store is sound.
+BOOST_AUTO_TEST_CASE(removedServersAreGoneAtOnce)
+{
+    backend_table table(HERE, 1);
+    table.apply(entryOf("a"), START);
+    table.remove(backend_server_id("a"), START);
+    BOOST_TEST(chosen(table, START) == "");
+    backend_entry late = entryOf("a");
+    late.sequence = 4;
+    BOOST_TEST(!table.apply(late, START));
+}
+
+// Guards against requests to a server that does not answer while another one does.
+BOOST_AUTO_TEST_CASE(stalledServersAreAvoided)
+{
+    backend_table table(HERE, 1);
+    table.apply(entryOf("a", HERE), START);
+    table.apply(entryOf("b", THERE), START);
+    table.health(backend_server_id("a"))->sent(START);
+    BOOST_TEST(chosen(table, START + 5 * USUAL) == "b");
+}
+
+// Guards against servers that can't be reached taking requests, and against their never being tried again.
+BOOST_AUTO_TEST_CASE(unreachableServersAreSuspendedForAWhile)
+{
+    backend_table table(HERE, 1);
+    table.apply(entryOf("a", HERE), START);
+    backend_health *health = table.health(backend_server_id("a"));
+    health->sent(START);
+    health->ended(START, START, try_outcome::unreachable, 0);
+    BOOST_TEST(health->suspended(START));
+    BOOST_TEST(!table.choose(SERVICE, {}, backend_table::suspended_servers::excluded, USUAL, START).has_value());
+    BOOST_TEST(chosen(table, START) == "a");
+    BOOST_TEST(!health->suspended(START + std::chrono::seconds(3)));
+}
+
+// Guards against more connections to a server than this node's share.
+BOOST_AUTO_TEST_CASE(connectionsAreShared)
+{
+    backend_table table(HERE, 1);
+    table.apply(entryOf("a"), START);
+    service_rules rules;
+    rules.maxConnections = 26;
+    table.setServiceRules({{SERVICE, rules}}, 1.5, 5);
+    table.setNodeCount(7);
+    BOOST_TEST(table.connectionShare(SERVICE) == 3U);
+    for (int i = 0; i < 3; ++i) {
+        table.health(backend_server_id("a"))->sent(START);
+    }
+    BOOST_TEST(chosen(table, START) == "");
+}
+
+// Guards against cold servers getting more than they bear, summed over all nodes, in any second.
+BOOST_AUTO_TEST_CASE(coldServersGetTheirRate)
+{
+    constexpr std::size_t NODES = 3;
+    constexpr double RATE = 20;
+    constexpr double OVERRUN = 1.5;
+    constexpr double SLACK = 5;
+    std::vector<std::unique_ptr<backend_table>> nodes;
+    for (std::size_t i = 0; i < NODES; ++i) {
+        nodes.push_back(std::make_unique<backend_table>(HERE, i));
+        backend_entry cold = entryOf("a");
+        cold.warmUpLeft = std::chrono::seconds(30);
+        nodes.back()->apply(cold, START);
+        service_rules rules;
+        rules.warmUpRequestsPerSecond = RATE;
+        nodes.back()->setServiceRules({{SERVICE, rules}}, OVERRUN, SLACK);
+        nodes.back()->setNodeCount(NODES);
+    }
+    std::vector<time_point> sent;
+    for (time_point now = START; now < START + std::chrono::seconds(5); now += std::chrono::milliseconds(5)) {
+        for (const auto &node : nodes) {
+            if (node->choose(SERVICE, {}, backend_table::suspended_servers::avoided, USUAL, now)) {
+                sent.push_back(now);
+            }
+        }
+    }
+    std::size_t most = 0;
+    for (std::size_t first = 0, last = 0; last < sent.size(); ++last) {
+        while (sent[last] - sent[first] >= std::chrono::seconds(1)) {
+            ++first;
+        }
+        most = std::max(most, last - first + 1);
+    }
+    BOOST_TEST(static_cast<double>(most) <= RATE * OVERRUN + SLACK);
+    BOOST_TEST(sent.size() > 20U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/policy/test_request_execution.cpp
@@ -0,0 +1,283 @@
+#include <algorithm>
+#include <map>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "policy/request_execution.h"
+#include "policy/route_latency.h"
+#include "policy/shared_retry_budget.h"
+
+using namespace snipefall;
+
+namespace {
+
+using std::chrono::milliseconds;
+
+const time_point START{std::chrono::hours(1)};
+
+/** Two servers for each of a few services, and one request. */
+struct execution_site
+{
+    explicit execution_site(std::size_t shards, bool idempotent = true, std::size_t serversEach = 2)
+        : servers(failure_domain_id("here"), 1)
+    {
+        budget.setLimits({1.0, 1000, std::chrono::seconds(10)}, 1);
+        route.name = "route";
+        route.idempotent = idempotent;
+        route.maxServers = 2;
+        route.timeout = milliseconds(1000);
+        route.targetLatency = milliseconds(100);
+        route.minCoverage = 0.75;
+        for (std::size_t i = 0; i < std::max<std::size_t>(shards, 1); ++i) {
+            services.emplace_back("service-" + std::to_string(i));
+            for (std::size_t k = 0; k < serversEach; ++k) {
+                backend_entry entry;
+                entry.id = backend_server_id("server-" + std::to_string(i) + "-" + std::to_string(k));
+                entry.service = services.back();
+                entry.address = "10.0.0.1:80";
+                entry.domain = failure_domain_id("here");
+                servers.apply(entry, START);
+            }
+        }
+        if (shards > 0) {
+            route.shards = services;
+        }
+        times = {START, START + milliseconds(90), START + milliseconds(990), START + milliseconds(1000)};
+    }
+
+    request_execution start(execution_step &step)
+    {
+        request_execution execution(route, services, times, servers, budget, latencies);
+        step = execution.start(START);
+        return execution;
+    }
+
+    request_route route;
+    std::vector<service_id> services;
+    request_times times;
+    backend_table servers;
+    shared_retry_budget budget;
+    route_latency latencies;
+};
+
+struct failure_case
+{
+    const char *name;
+    bool idempotent;
+    try_outcome outcome;
+    bool repeated; ///< Another server gets the request.
+    execution_result::kind result; ///< Otherwise.
+};
+
+std::ostream &operator<<(std::ostream &out, const failure_case &row)
+{
+    return out << row.name;
+}
+
+const failure_case FAILURE_CASES[] = {
+    {"idempotent, lost", true, try_outcome::lost, true, execution_result::kind::failed},
+    {"idempotent, malformed", true, try_outcome::malformed, true, execution_result::kind::failed},
+    {"idempotent, server error", true, try_outcome::server_error, true, execution_result::kind::failed},
+    {"idempotent, refused", true, try_outcome::not_run, true, execution_result::kind::failed},
+    {"non-idempotent, lost", false, try_outcome::lost, false, execution_result::kind::failed},
+    {"non-idempotent, malformed", false, try_outcome::malformed, false, execution_result::kind::failed},
+    {"non-idempotent, timed out", false, try_outcome::timed_out, false, execution_result::kind::failed},
+    {"non-idempotent, server error", false, try_outcome::server_error, false, execution_result::kind::answered},
+    {"non-idempotent, refused by the server", false, try_outcome::not_run, true, execution_result::kind::failed},
+    {"non-idempotent, another server at the address", false, try_outcome::wrong_server, true, execution_result::kind::failed},
+    {"non-idempotent, no connection", false, try_outcome::unreachable, true, execution_result::kind::failed},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(request_execution_tests)
+
+// Guards against a non-idempotent request that runs twice, and against an idempotent one that is given up after its first failure.
+BOOST_DATA_TEST_CASE(failuresAreRepeatedOnlyWhereThatIsSafe, boost::unit_test::data::make(FAILURE_CASES), row)
+{
+    execution_site site(0, row.idempotent);
+    execution_step step;
+    request_execution execution = site.start(step);
+    BOOST_REQUIRE(step.sends.size() == 1U);
+    const backend_server_id first = step.sends.front().server.id;
+    step = execution.subRequestEnded(0, row.outcome, START + milliseconds(5));
+    if (!row.repeated) {
+        BOOST_REQUIRE(step.result.has_value());
+        BOOST_TEST((step.result->outcome == row.result));
+        return;
+    }
+    for (time_point now = START + milliseconds(5); step.sends.empty() && !step.result && now < START + milliseconds(80); now += milliseconds(5)) {
+        step = execution.tick(now);
+    }
+    BOOST_REQUIRE(step.sends.size() == 1U);
+    BOOST_TEST((step.sends.front().server.id != first));
+}
+
+// Guards against "not run" being said of a request that may have run.
+BOOST_AUTO_TEST_CASE(refusalsAreTrue)
+{
+    execution_site site(0, false, 1);
+    execution_step step;
+    request_execution execution = site.start(step);
+    BOOST_REQUIRE(step.sends.size() == 1U);
+    step = execution.subRequestEnded(0, try_outcome::lost, START + milliseconds(5));
+    BOOST_REQUIRE(step.result.has_value());
+    BOOST_TEST((step.result->outcome == execution_result::kind::failed));
+
+    execution_site empty(0, false, 0);
+    request_execution refused = empty.start(step);
+    BOOST_REQUIRE(step.result.has_value());
+    BOOST_TEST((step.result->outcome == execution_result::kind::not_run));
+    BOOST_TEST(step.result->retryAfter.count() > 0);
+}
+
+// Guards against a non-idempotent request being hedged when its server is slow.
+BOOST_AUTO_TEST_CASE(nonIdempotentRequestsAreNeverHedged)
+{
+    execution_site site(0, false);
+    execution_step step;
+    request_execution execution = site.start(step);
+    for (time_point now = START; now < site.times.end; now += milliseconds(10)) {
+        step = execution.tick(now);
+        BOOST_REQUIRE(step.sends.empty());
+        BOOST_REQUIRE(!step.result.has_value());
+    }
+    step = execution.tick(site.times.end);
+    BOOST_REQUIRE(step.result.has_value());
+    BOOST_TEST((step.result->outcome == execution_result::kind::timed_out));
+}
+
+// Guards against queries that miss their target latency because of one slow server.
+BOOST_AUTO_TEST_CASE(slowShardsAreHedged)
+{
+    execution_site site(4);
+    execution_step step;
+    request_execution execution = site.start(step);
+    BOOST_REQUIRE(step.sends.size() == 4U);
+    const backend_server_id slow = step.sends[2].server.id;
+    for (const std::size_t id : {0U, 1U, 3U}) {
+        step = execution.subRequestEnded(id, try_outcome::answered, START + milliseconds(5));
+    }
+    step = execution.tick(START + milliseconds(50));
+    BOOST_REQUIRE(step.sends.size() == 1U);
+    BOOST_TEST(step.sends.front().part == 2U);
+    BOOST_TEST((step.sends.front().server.id != slow));
+    step = execution.subRequestEnded(step.sends.front().id, try_outcome::answered, START + milliseconds(60));
+    BOOST_REQUIRE(step.result.has_value());
+    BOOST_TEST(step.result->missing == 0U);
+    BOOST_TEST(step.result->subRequests.size() == 4U);
+}
+
+struct coverage_case
+{
+    const char *name;
+    std::size_t answered; ///< Of eight shards, before the target.
+    bool atTarget; ///< Whether the answer is sent at the target.
+};
+
+std::ostream &operator<<(std::ostream &out, const coverage_case &row)
+{
+    return out << row.name;
+}
+
+const coverage_case COVERAGE_CASES[] = {
+    {"all but one", 7, true},
+    {"the least coverage", 6, true},
+    {"below the least coverage", 5, false},
+    {"nothing", 0, false},
+};
+
+// Guards against partial answers below the least coverage, and against in-time answers that wait for the last shard and come late.
+BOOST_DATA_TEST_CASE(partialAnswersAreSentAtTheTarget, boost::unit_test::data::make(COVERAGE_CASES), row)
+{
+    execution_site site(8);
+    execution_step step;
+    request_execution execution = site.start(step);
+    for (std::size_t id = 0; id < row.answered; ++id) {
+        step = execution.subRequestEnded(id, try_outcome::answered, START + milliseconds(5));
+        BOOST_REQUIRE(!step.result.has_value());
+    }
+    step = execution.tick(site.times.target - milliseconds(1));
+    BOOST_REQUIRE(!step.result.has_value());
+    step = execution.tick(site.times.target);
+    BOOST_TEST(step.result.has_value() == row.atTarget);
+    if (step.result) {
+        BOOST_TEST(step.result->missing == 8 - row.answered);
+        BOOST_TEST(step.result->subRequests.size() == row.answered);
+    }
+}
+
+// Guards against holding a query whose least coverage can't be reached any more.
+BOOST_AUTO_TEST_CASE(hopelessQueriesEndAtOnce)
+{
+    execution_site site(4, true, 0);
+    execution_step step;
+    request_execution execution = site.start(step);
+    BOOST_REQUIRE(step.result.has_value());
+    BOOST_TEST((step.result->outcome == execution_result::kind::not_run));
+}
+
+// Guards against one request reaching more servers of a service than its route allows.
+BOOST_AUTO_TEST_CASE(aRequestReachesNoMoreServersThanAllowed)
+{
+    execution_site site(0, true, 4);
+    execution_step step;
+    request_execution execution = site.start(step);
+    std::map<backend_server_id, int> reached;
+    for (time_point now = START; !step.result && now < START + milliseconds(900); now += milliseconds(20)) {
+        for (const sub_request_send &sent : step.sends) {
+            ++reached[sent.server.id];
+        }
+        const std::vector<std::size_t> waiting = execution.inFlight();
+        step = waiting.empty() ? execution.tick(now) : execution.subRequestEnded(waiting.front(), try_outcome::lost, now);
+    }
+    BOOST_TEST(reached.size() == 2U);
+}
+
+// Guards against extra sub-requests without a token of the shared budget.
+BOOST_AUTO_TEST_CASE(extraSubRequestsNeedTokens)
+{
+    execution_site site(0);
+    site.budget.setLimits({0.0, 0, std::chrono::seconds(10)}, 1);
+    execution_step step;
+    request_execution execution = site.start(step);
+    step = execution.tick(START + milliseconds(60));
+    BOOST_TEST(step.sends.empty());
+    step = execution.subRequestEnded(0, try_outcome::lost, START + milliseconds(70));
+    BOOST_TEST(step.sends.empty());
+    BOOST_REQUIRE(step.result.has_value());
+    BOOST_TEST((step.result->outcome == execution_result::kind::failed));
+}
+
+// Guards against a request that hangs on a connection or server that went silent.
+BOOST_AUTO_TEST_CASE(silentAttemptsAreGivenUp)
+{
+    execution_site site(0, true, 1);
+    execution_step step;
+    request_execution execution = site.start(step);
+    bool abandoned = false;
+    bool repeated = false;
+    for (time_point now = START; now < site.times.end; now += milliseconds(10)) {
+        step = execution.tick(now);
+        abandoned = abandoned || !step.abandoned.empty();
+        repeated = repeated || !step.sends.empty();
+    }
+    BOOST_TEST(abandoned);
+    BOOST_TEST(repeated);
+}
+
+// Guards against a time limit that passes without an answer.
+BOOST_AUTO_TEST_CASE(everyRequestEndsByItsEnd)
+{
+    for (const std::size_t shards : {0U, 4U}) {
+        execution_site site(shards);
+        execution_step step;
+        request_execution execution = site.start(step);
+        step = execution.tick(site.times.end);
+        BOOST_REQUIRE(step.result.has_value());
+        BOOST_TEST((step.result->outcome == execution_result::kind::timed_out));
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tests/stand_ins/child_process.cpp
+++ b/tests/stand_ins/child_process.cpp
@@ -40,6 +40,7 @@
             _exit(127);
         }
         const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+        dup2(log, STDOUT_FILENO);
         dup2(log, STDERR_FILENO);
         dup2(log, STDOUT_FILENO);
         execv(path.c_str(), argv.data());
--- a/tests/stand_ins/child_process.h
+++ b/tests/stand_ins/child_process.h
@@ -11,7 +11,7 @@
 class child_process
 {
 public:
-    /** Starts bin/@p program with its standard error appended to @p logFile. */
+    /** Starts bin/@p program with its output appended to @p logFile. */
     child_process(const std::string &program, const std::vector<std::string> &arguments, const std::string &logFile);
     ~child_process();
     child_process(const child_process &) = delete;
--- /dev/null
+++ b/tests/stand_ins/site_emulator.cpp
@@ -0,0 +1,252 @@
+#include "tests/stand_ins/site_emulator.h"
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include <boost/asio/post.hpp>
+#include <fmt/format.h>
+#include <stdlib.h>
+
+#include "tests/stand_ins/free_port.h"
+
+namespace snipefall {
+
+namespace {
+
+/** Far longer than any step takes; the tests assert no times. */
+constexpr std::chrono::seconds LONGEST_WAIT(60);
+
+std::string freeAddress()
+{
+    return "127.0.0.1:" + std::to_string(freePort());
+}
+
+std::string newFolder()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "snipefall-site-XXXXXX").string();
+    return mkdtemp(pattern.data());
+}
+
+} // namespace
+
+site_emulator::site_emulator(options settings)
+    : m_options(settings)
+    , m_folder(newFolder())
+    , m_work(boost::asio::make_work_guard(m_loop))
+    , m_thread([this] { m_loop.run(); })
+{
+    onLoop([this] {
+        m_store = std::make_unique<site_store>(m_loop);
+        m_caller = std::make_unique<site_caller>(m_loop);
+    });
+    for (std::size_t i = 0; i < m_options.shards; ++i) {
+        m_shards.push_back("shard-" + std::to_string(i));
+        for (std::size_t k = 0; k < m_options.serversPerShard; ++k) {
+            addServer(m_shards.back(), "zone-" + std::to_string(k));
+        }
+    }
+    for (std::size_t k = 0; k < m_options.plainServers; ++k) {
+        addServer(PLAIN_SERVICE, "zone-" + std::to_string(k % 2));
+    }
+    m_configuration = {
+        {"version", 1},
+        {"routes",
+         json::array({{{"name", "query"},
+                       {"host", HOST},
+                       {"path_prefix", "/query/"},
+                       {"route_kind", "idempotent"},
+                       {"timeout_ms", m_options.queryTimeout.count()},
+                       {"target_latency_ms", m_options.queryTarget.count()},
+                       {"priority", 1},
+                       {"attempts", 2},
+                       {"gather", m_shards},
+                       {"top_k", m_options.top},
+                       {"min_coverage", m_options.leastCoverage}},
+                      {{"name", "order"},
+                       {"host", HOST},
+                       {"path_prefix", "/order/"},
+                       {"route_kind", "non_idempotent"},
+                       {"timeout_ms", 3000},
+                       {"target_latency_ms", 400},
+                       {"priority", 1},
+                       {"attempts", 2},
+                       {"service", PLAIN_SERVICE}}})},
+        {"services", json::array()},
+        {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 65536}, {"header_timeout_ms", 2000}, {"idle_timeout_ms", 5000}}}};
+    configure([](json &) {});
+}
+
+site_emulator::~site_emulator()
+{
+    m_nodes.clear();
+    onLoop([this] {
+        m_caller.reset();
+        m_servers.clear();
+        m_store.reset();
+    });
+    m_work.reset();
+    m_loop.stop();
+    m_thread.join();
+    std::error_code ignored; // The folder of a test run may stay behind.
+    std::filesystem::remove_all(m_folder, ignored);
+}
+
+std::string site_emulator::addServer(const std::string &service, const std::string &domain)
+{
+    site_backend::options server;
+    server.id = fmt::format("i-{}-{}", service, m_servers.size());
+    server.service = service;
+    server.domain = domain;
+    server.work = m_options.work;
+    server.records = m_options.records;
+    onLoop([&] { m_servers.push_back(std::make_unique<site_backend>(m_loop, *m_store, server)); });
+    return server.id;
+}
+
+std::string site_emulator::pathOf(const std::string &node, const std::string &suffix) const
+{
+    return m_folder + "/" + node + suffix;
+}
+
+void site_emulator::writeBootFile(const std::string &name, unsigned retrySlack) const
+{
+    const node_state &state = m_nodes.at(name);
+    const json boot{{"node_name", name},
+                    {"zone", state.domain},
+                    {"listen_addrs",
+                     {{"front", state.addresses.callers},
+                      {"ready", state.addresses.ready},
+                      {"directory", state.addresses.directory},
+                      {"control", state.addresses.peers}}},
+                    {"seeds", m_seeds},
+                    {"limits", {{"memory_mb", 260}, {"max_fds", 1024}}},
+                    {"bounds",
+                     {{"drain_ms", 3000},
+                      {"grace_s", m_options.graceSeconds},
+                      {"config_apply_ms", 3000},
+                      {"retry_budget_ratio", 0.2},
+                      {"retry_slack", retrySlack},
+                      {"retry_window_s", 10},
+                      {"warmup_overrun", 1.5},
+                      {"warmup_slack", 5},
+                      {"ttl_max_s", 5}}},
+                    {"platform", {{"address", m_store->address()}}}};
+    std::ofstream(pathOf(name, ".json")) << boot.dump();
+}
+
+void site_emulator::startNode(const std::string &name, const std::string &domain)
+{
+    node_state &state = m_nodes[name];
+    if (state.addresses.callers.empty()) {
+        state.addresses = {freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()};
+        m_seeds.push_back(state.addresses.peers);
+    }
+    state.domain = domain;
+    writeBootFile(name, m_options.retrySlack);
+    const std::string metricsPort = state.addresses.metrics.substr(state.addresses.metrics.find(':') + 1);
+    state.process = std::make_unique<child_process>(
+        "snipefalld", std::vector<std::string>{"--boot", pathOf(name, ".json"), "--metrics-port", metricsPort}, pathOf(name, ".log"));
+}
+
+std::string site_emulator::logOf(const std::string &name) const
+{
+    std::ostringstream text;
+    text << std::ifstream(pathOf(name, ".log")).rdbuf();
+    return text.str();
+}
+
+bool site_emulator::waitFor(const std::function<bool()> &condition)
+{
+    const auto until = std::chrono::steady_clock::now() + LONGEST_WAIT;
+    while (std::chrono::steady_clock::now() < until) {
+        if (condition()) {
+            return true;
+        }
+        std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+}
+
+bool site_emulator::waitReady(const std::string &name)
+{
+    return waitFor([&] {
+        site_caller::request request;
+        request.target = "/snipefall/ready";
+        request.host = "ready";
+        return call(addresses(name).ready, request).status == 200;
+    });
+}
+
+site_caller::answer site_emulator::call(const std::string &address, const site_caller::request &request)
+{
+    std::promise<site_caller::answer> ended;
+    boost::asio::post(m_loop, [&] { m_caller->send(address, request, [&ended](site_caller::answer answer) { ended.set_value(std::move(answer)); }); });
+    return ended.get_future().get();
+}
+
+std::string site_emulator::newId()
+{
+    return fmt::format("r{:08x}", ++m_lastId);
+}
+
+site_caller::request site_emulator::queryRequest()
+{
+    const std::string id = newId();
+    return {"GET", HOST, "/query/" + id, "", id, m_options.queryTimeout};
+}
+
+site_caller::request site_emulator::orderRequest()
+{
+    const std::string id = newId();
+    return {"POST", HOST, "/order/" + id, "order " + id, id, std::chrono::milliseconds(3000)};
+}
+
+site_caller::answer site_emulator::query(const std::string &node)
+{
+    return call(addresses(node).callers, queryRequest());
+}
+
+site_caller::answer site_emulator::order(const std::string &node)
+{
+    return call(addresses(node).callers, orderRequest());
+}
+
+std::string site_emulator::problemOf(const site_caller::answer &answer, const site_caller::request &request) const
+{
+    return site_caller::problemOf(answer, request, m_shards, m_options.records, m_options.top, m_options.leastCoverage);
+}
+
+std::vector<std::string> site_emulator::directory(const std::string &node)
+{
+    site_caller::request request;
+    request.target = std::string("/snipefall/resolve?name=") + HOST + "&region=r&zone=zone-0";
+    request.host = "directory";
+    const site_caller::answer answer = call(addresses(node).directory, request);
+    if (answer.status != 200) {
+        return {};
+    }
+    return json::parse(answer.body).at("addrs").get<std::vector<std::string>>();
+}
+
+void site_emulator::configure(const std::function<void(json &)> &change)
+{
+    onLoop([&] {
+        change(m_configuration);
+        m_configuration["version"] = m_configuration["version"].get<std::uint64_t>() + 3;
+        m_store->put("config", "main", m_configuration);
+    });
+}
+
+std::vector<site_backend *> site_emulator::serversOf(const std::string &service)
+{
+    std::vector<site_backend *> found;
+    for (const auto &server : m_servers) {
+        if (server->settings().service == service) {
+            found.push_back(server.get());
+        }
+    }
+    return found;
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/tests/stand_ins/site_emulator.h
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+
+#include "tests/stand_ins/child_process.h"
+#include "tests/stand_ins/site_backend.h"
+#include "tests/stand_ins/site_caller.h"
+#include "tests/stand_ins/site_store.h"
+
+namespace snipefall {
+
+/**
+ * Our own emulator of the users' platform on one machine: its store, backend servers and callers on an event loop of this process, and nodes as processes of
+ * their own.
+ */
+class site_emulator
+{
+public:
+    struct node_addresses
+    {
+        std::string callers;
+        std::string ready;
+        std::string directory;
+        std::string peers;
+        std::string metrics;
+    };
+
+    struct options
+    {
+        std::size_t shards = 4;
+        std::size_t serversPerShard = 2;
+        std::size_t plainServers = 3; ///< Of the service that takes requests to one backend server.
+        std::chrono::milliseconds work{4};
+        std::size_t records = 8; ///< In the answer of a shard.
+        std::size_t top = 10;
+        double leastCoverage = 0.75;
+        std::chrono::milliseconds queryTimeout{800};
+        std::chrono::milliseconds queryTarget{200};
+        double graceSeconds = 3;
+        unsigned retrySlack = 200;
+    };
+
+    explicit site_emulator(options settings);
+    ~site_emulator();
+    site_emulator(const site_emulator &) = delete;
+    site_emulator &operator=(const site_emulator &) = delete;
+
+    /** Runs @p action on the event loop and returns its result. */
+    template <typename F>
+    auto onLoop(F action) -> decltype(action())
+    {
+        std::packaged_task<decltype(action())()> task(std::move(action));
+        auto result = task.get_future();
+        boost::asio::post(m_loop, [&task] { task(); });
+        return result.get();
+    }
+
+    void startNode(const std::string &name, const std::string &domain);
+    child_process &node(const std::string &name) { return *m_nodes.at(name).process; }
+    const node_addresses &addresses(const std::string &name) const { return m_nodes.at(name).addresses; }
+    std::string logOf(const std::string &name) const;
+    /** Rewrites the node's settings file with another bound on retries. */
+    void writeBootFile(const std::string &name, unsigned retrySlack) const;
+    /** Waits until the node says that it is ready. */
+    bool waitReady(const std::string &name);
+    static bool waitFor(const std::function<bool()> &condition);
+
+    /** Sends a request and waits for its end. */
+    site_caller::answer call(const std::string &address, const site_caller::request &request);
+    site_caller::answer query(const std::string &node);
+    site_caller::answer order(const std::string &node);
+    /** An id that no other request has. */
+    std::string newId();
+    site_caller::request queryRequest();
+    site_caller::request orderRequest();
+    /** What is wrong with a success of a query, or nothing. */
+    std::string problemOf(const site_caller::answer &answer, const site_caller::request &request) const;
+    /** The addresses that a node's directory names. */
+    std::vector<std::string> directory(const std::string &node);
+
+    /** Writes the next version of the configuration; @p change edits it. */
+    void configure(const std::function<void(json &)> &change);
+    /** Only on the event loop. */
+    site_store &store() { return *m_store; }
+    site_caller &caller() { return *m_caller; }
+    std::vector<site_backend *> serversOf(const std::string &service);
+    const std::vector<std::string> &shards() const { return m_shards; }
+    const options &settings() const { return m_options; }
+    std::string addServer(const std::string &service, const std::string &domain);
+
+    static constexpr char PLAIN_SERVICE[] = "plain";
+    static constexpr char HOST[] = "site.example";
+
+private:
+    struct node_state
+    {
+        node_addresses addresses;
+        std::string domain;
+        std::unique_ptr<child_process> process;
+    };
+
+    std::string pathOf(const std::string &node, const std::string &suffix) const;
+
+    options m_options;
+    std::string m_folder;
+    boost::asio::io_context m_loop;
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> m_work;
+    std::thread m_thread;
+    std::unique_ptr<site_store> m_store;
+    std::unique_ptr<site_caller> m_caller;
+    std::vector<std::unique_ptr<site_backend>> m_servers;
+    std::vector<std::string> m_shards;
+    std::map<std::string, node_state> m_nodes;
+    std::vector<std::string> m_seeds;
+    json m_configuration;
+    std::atomic<unsigned long> m_lastId{0};
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/tests/stand_ins/site_store.cpp
@@ -0,0 +1,275 @@
+#include "tests/stand_ins/site_store.h"
+
+#include <algorithm>
+
+namespace snipefall {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr char OBJECTS[] = "/snipefall/objects/";
+/** Small, so that tests with a few objects need several pages. */
+constexpr std::size_t PAGE = 20;
+
+http_response_message answerOf(unsigned status, const json &body)
+{
+    http_response_message answer(static_cast<http::status>(status), 11);
+    answer.set(http::field::content_type, "application/json");
+    answer.body() = body.is_null() ? "" : body.dump();
+    return answer;
+}
+
+std::map<std::string, std::string> parametersOf(const std::string &target)
+{
+    std::map<std::string, std::string> parameters;
+    const std::size_t question = target.find('?');
+    std::string rest = question == std::string::npos ? "" : target.substr(question + 1);
+    while (!rest.empty()) {
+        const std::string pair = rest.substr(0, rest.find('&'));
+        rest = pair.size() < rest.size() ? rest.substr(pair.size() + 1) : "";
+        parameters[pair.substr(0, pair.find('='))] = pair.substr(std::min(pair.size(), pair.find('=') + 1));
+    }
+    return parameters;
+}
+
+} // namespace
+
+site_store::site_store(boost::asio::io_context &loop)
+    : m_loop(loop)
+    , m_server(loop, [this](const std::shared_ptr<http_exchange> &exchange) { handle(exchange); })
+    , m_timer(loop)
+{
+    m_server.listen("127.0.0.1:0");
+    async_server_limits limits;
+    limits.idleTimeout = std::chrono::minutes(1);
+    m_server.setLimits(limits);
+    expireWatches();
+}
+
+std::string site_store::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_server.port());
+}
+
+void site_store::put(const std::string &kind, const std::string &name, json spec)
+{
+    json &object = m_objects[kind][name];
+    if (object.is_object() && object["spec"] == spec) {
+        return;
+    }
+    const json created = object.is_object() ? object["meta"]["created"] : json(m_revision + 1);
+    ++m_revision;
+    object = {{"meta", {{"name", name}, {"revision", m_revision}, {"created", created}, {"finalizers", json::array()}, {"deleting", false}}},
+              {"spec", std::move(spec)},
+              {"status", nullptr}};
+    record(kind, object, false);
+}
+
+void site_store::remove(const std::string &kind, const std::string &name)
+{
+    const auto found = m_objects[kind].find(name);
+    if (found == m_objects[kind].end()) {
+        return;
+    }
+    json object = std::move(found->second);
+    m_objects[kind].erase(found);
+    object["meta"]["revision"] = ++m_revision;
+    record(kind, object, true);
+}
+
+json site_store::find(const std::string &kind, const std::string &name) const
+{
+    const auto objects = m_objects.find(kind);
+    if (objects == m_objects.end()) {
+        return nullptr;
+    }
+    const auto found = objects->second.find(name);
+    return found == objects->second.end() ? json() : found->second;
+}
+
+std::size_t site_store::count(const std::string &kind) const
+{
+    const auto objects = m_objects.find(kind);
+    return objects == m_objects.end() ? 0 : objects->second.size();
+}
+
+void site_store::setCondition(condition now)
+{
+    m_condition = now;
+    if (now != condition::sound) {
+        for (const watch &waiting : m_watches) {
+            if (now == condition::refusing) {
+                waiting.exchange->respond(answerOf(503, nullptr));
+            } else {
+                m_unanswered.push_back(waiting.exchange);
+            }
+        }
+        m_watches.clear();
+    }
+}
+
+void site_store::forgetHistory()
+{
+    m_history.clear();
+    m_forgotten = m_revision;
+    for (const watch &waiting : m_watches) {
+        waiting.exchange->respond(answerOf(410, nullptr));
+    }
+    m_watches.clear();
+}
+
+void site_store::handle(const std::shared_ptr<http_exchange> &exchange)
+{
+    ++m_calls;
+    if (m_condition == condition::silent) {
+        m_unanswered.push_back(exchange);
+        return;
+    }
+    if (m_condition == condition::refusing) {
+        exchange->respond(answerOf(503, nullptr));
+        return;
+    }
+    if (m_delay.count() == 0) {
+        serve(exchange);
+        return;
+    }
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, m_delay);
+    timer->async_wait([this, exchange, timer](const boost::system::error_code &) { serve(exchange); });
+}
+
+void site_store::serve(const std::shared_ptr<http_exchange> &exchange)
+{
+    const http_request_message &request = exchange->request();
+    const std::string target(request.target());
+    std::string path = target.substr(0, target.find('?'));
+    auto parameters = parametersOf(target);
+    if (path.rfind(OBJECTS, 0) != 0) {
+        exchange->respond(answerOf(404, nullptr));
+        return;
+    }
+    path = path.substr(sizeof(OBJECTS) - 1);
+    const std::string kind = path.substr(0, path.find('/'));
+    const std::string name = kind.size() < path.size() ? path.substr(kind.size() + 1) : "";
+    if (request.method() != http::verb::get) {
+        write(kind, name, *exchange);
+        return;
+    }
+    if (!name.empty()) {
+        const json object = find(kind, name);
+        exchange->respond(answerOf(object.is_null() ? 404 : 200, object));
+        return;
+    }
+    if (!parameters.contains("watch")) {
+        list(kind, parameters["after"], *exchange);
+        return;
+    }
+    const watch waiting{kind,
+                        std::stoull(parameters["watch"]),
+                        std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoull(parameters["wait_ms"])),
+                        exchange};
+    if (!answerWatch(waiting)) {
+        m_watches.push_back(waiting);
+    }
+}
+
+void site_store::list(const std::string &kind, const std::string &after, http_exchange &exchange) const
+{
+    json items = json::array();
+    bool more = false;
+    const auto objects = m_objects.find(kind);
+    if (objects != m_objects.end()) {
+        for (auto object = objects->second.upper_bound(after); object != objects->second.end(); ++object) {
+            if (items.size() >= PAGE) {
+                more = true;
+                break;
+            }
+            items.push_back(object->second);
+        }
+    }
+    exchange.respond(answerOf(200, {{"items", items}, {"more", more}, {"store_revision", m_revision}}));
+}
+
+void site_store::write(const std::string &kind, const std::string &name, http_exchange &exchange)
+{
+    const http_request_message &request = exchange.request();
+    const json body = request.body().empty() ? json::object() : json::parse(request.body(), nullptr, false);
+    if (body.is_discarded()) {
+        exchange.respond(answerOf(400, nullptr));
+        return;
+    }
+    const json meta = body.value("meta", json::object());
+    const std::string target(request.target());
+    const std::string named = name.empty() ? meta.value("name", "") : name;
+    const json known = find(kind, named);
+    std::uint64_t expected = meta.value("revision", std::uint64_t(0));
+    if (auto parameters = parametersOf(target); parameters.contains("revision")) {
+        expected = std::stoull(parameters["revision"]);
+    }
+    const bool creates = request.method() == http::verb::post;
+    if (!creates && known.is_null()) {
+        exchange.respond(answerOf(404, nullptr));
+        return;
+    }
+    if ((creates && !known.is_null()) || (!creates && expected != 0 && expected != known["meta"]["revision"].get<std::uint64_t>())) {
+        exchange.respond(answerOf(409, known));
+        return;
+    }
+    if (request.method() == http::verb::delete_) {
+        remove(kind, named);
+        exchange.respond(answerOf(200, known));
+        return;
+    }
+    put(kind, named, body.value("spec", json()));
+    exchange.respond(answerOf(200, find(kind, named)));
+}
+
+void site_store::record(const std::string &kind, const json &object, bool deleted)
+{
+    m_history.push_back({m_revision, kind, {{"deleted", deleted}, {"object", object}}});
+    answerWatches();
+}
+
+bool site_store::answerWatch(const watch &waiting)
+{
+    if (waiting.revision < m_forgotten) {
+        waiting.exchange->respond(answerOf(410, nullptr));
+        return true;
+    }
+    json events = json::array();
+    for (const change &item : m_history) {
+        if (item.kind == waiting.kind && item.revision > waiting.revision) {
+            events.push_back(item.event);
+        }
+    }
+    if (events.empty()) {
+        return false;
+    }
+    waiting.exchange->respond(answerOf(200, {{"events", events}, {"store_revision", m_revision}}));
+    return true;
+}
+
+void site_store::answerWatches()
+{
+    m_watches.remove_if([this](const watch &waiting) { return waiting.exchange->finished() || answerWatch(waiting); });
+}
+
+void site_store::expireWatches()
+{
+    const auto now = std::chrono::steady_clock::now();
+    m_watches.remove_if([this, now](const watch &waiting) {
+        if (now < waiting.until) {
+            return false;
+        }
+        waiting.exchange->respond(answerOf(200, {{"events", json::array()}, {"store_revision", m_revision}}));
+        return true;
+    });
+    m_timer.expires_after(std::chrono::milliseconds(50));
+    m_timer.async_wait([this](const boost::system::error_code &cancelled) {
+        if (!cancelled) {
+            expireWatches();
+        }
+    });
+}
+
+} // namespace snipefall
--- /dev/null
+++ b/tests/stand_ins/site_store.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <list>
+#include <map>
+#include <string>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "core/json.h"
+#include "http/async_http_server.h"
+
+namespace snipefall {
+
+/** Plays the store of the users' platform on one event loop: objects by kind, lists in pages, watches, and the faults that the store may have. */
+class site_store
+{
+public:
+    enum class condition
+    {
+        sound,
+        refusing, ///< 503 to everything; nothing is done.
+        silent, ///< Calls are read and never answered.
+    };
+
+    explicit site_store(boost::asio::io_context &loop);
+
+    std::string address() const;
+
+    void put(const std::string &kind, const std::string &name, json spec);
+    void remove(const std::string &kind, const std::string &name);
+    json find(const std::string &kind, const std::string &name) const;
+    std::size_t count(const std::string &kind) const;
+
+    void setCondition(condition now);
+    void setDelay(std::chrono::milliseconds delay) { m_delay = delay; }
+    /** Forgets the changes so far and ends all watches. */
+    void forgetHistory();
+    std::uint64_t calls() const { return m_calls; }
+
+private:
+    struct change
+    {
+        std::uint64_t revision;
+        std::string kind;
+        json event;
+    };
+    struct watch
+    {
+        std::string kind;
+        std::uint64_t revision;
+        std::chrono::steady_clock::time_point until;
+        std::shared_ptr<http_exchange> exchange;
+    };
+
+    void handle(const std::shared_ptr<http_exchange> &exchange);
+    void serve(const std::shared_ptr<http_exchange> &exchange);
+    void list(const std::string &kind, const std::string &after, http_exchange &exchange) const;
+    void write(const std::string &kind, const std::string &name, http_exchange &exchange);
+    void record(const std::string &kind, const json &object, bool deleted);
+    bool answerWatch(const watch &waiting);
+    void answerWatches();
+    void expireWatches();
+
+    boost::asio::io_context &m_loop;
+    async_http_server m_server;
+    boost::asio::steady_timer m_timer;
+    std::map<std::string, std::map<std::string, json>> m_objects;
+    std::list<change> m_history;
+    std::list<watch> m_watches;
+    std::list<std::shared_ptr<http_exchange>> m_unanswered;
+    std::uint64_t m_revision = 100;
+    std::uint64_t m_forgotten = 0; ///< Changes up to this revision are not known any more.
+    std::uint64_t m_calls = 0;
+    std::chrono::milliseconds m_delay{0};
+    condition m_condition = condition::sound;
+};
+
+} // namespace snipefall
--- /dev/null
+++ b/tests/tier/test_tier.cpp
@@ -0,0 +1,337 @@
+#include <csignal>
+#include <set>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "tests/stand_ins/site_emulator.h"
+
+using namespace snipefall;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** An emulated site with a few nodes that are ready and know each other. */
+struct running_site
+{
+    explicit running_site(std::size_t nodes = 2, site_emulator::options options = {})
+        : site(options)
+    {
+        for (std::size_t i = 0; i < nodes; ++i) {
+            names.push_back("node-" + std::to_string(i));
+            site.startNode(names.back(), "zone-" + std::to_string(i % 2));
+        }
+        for (const std::string &name : names) {
+            BOOST_REQUIRE(site.waitReady(name));
+        }
+    }
+
+    /** Requests of a kind that reached a server and began to run. */
+    std::size_t runsOf(const std::string &id)
+    {
+        return site.onLoop([&] {
+            std::size_t runs = 0;
+            for (site_backend *server : site.serversOf(site_emulator::PLAIN_SERVICE)) {
+                for (const site_backend::run &run : server->runs()) {
+                    runs += run.requestId == id ? 1 : 0;
+                }
+            }
+            return runs;
+        });
+    }
+
+    void setFaults(const std::string &service, const site_backend::faults &faults)
+    {
+        site.onLoop([&] {
+            for (site_backend *server : site.serversOf(service)) {
+                server->setFaults(faults);
+            }
+        });
+    }
+
+    site_emulator site;
+    std::vector<std::string> names;
+};
+
+struct refusal_case
+{
+    const char *name;
+    const char *host;
+    const char *target;
+    const char *id;
+    unsigned status;
+};
+
+std::ostream &operator<<(std::ostream &out, const refusal_case &row)
+{
+    return out << row.name;
+}
+
+const refusal_case REFUSAL_CASES[] = {
+    {"an unknown host", "other.example", "/query/1", "r1", 404},
+    {"an unknown path", site_emulator::HOST, "/else/1", "r1", 404},
+    {"a prefix without its slash", site_emulator::HOST, "/query", "r1", 404},
+    {"no id", site_emulator::HOST, "/query/1", "", 400},
+};
+
+struct order_fault_case
+{
+    const char *name;
+    site_backend::faults faults;
+    std::set<unsigned> statuses; ///< Allowed ones.
+};
+
+std::ostream &operator<<(std::ostream &out, const order_fault_case &row)
+{
+    return out << row.name;
+}
+
+const order_fault_case ORDER_FAULTS[] = {
+    {"sound servers", {}, {200}},
+    {"all fail", {100, 0, 0, false, milliseconds(0)}, {500}},
+    {"all are full", {0, 100, 0, false, milliseconds(0)}, {503}},
+    {"all answers are lost", {0, 0, 100, false, milliseconds(0)}, {502, 504}},
+    {"all are silent", {0, 0, 0, true, milliseconds(0)}, {502, 504}},
+    {"a part of each", {30, 30, 20, false, milliseconds(0)}, {200, 500, 502, 503, 504}},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(tier_tests)
+
+BOOST_AUTO_TEST_CASE(queriesAreWhole)
+{
+    running_site running;
+    for (int i = 0; i < 20; ++i) {
+        const site_caller::request request = running.site.queryRequest();
+        const site_caller::answer answer = running.site.call(running.site.addresses(running.names[i % 2]).callers, request);
+        BOOST_TEST(answer.status == 200U);
+        BOOST_TEST(running.site.problemOf(answer, request) == "");
+    }
+}
+
+BOOST_DATA_TEST_CASE(badRequestsAreRefused, boost::unit_test::data::make(REFUSAL_CASES), row)
+{
+    running_site running(1);
+    const site_caller::request request{"GET", row.host, row.target, "", row.id, milliseconds(500)};
+    BOOST_TEST(running.site.call(running.site.addresses("node-0").callers, request).status == row.status);
+}
+
+// Guards against orders that run twice, and against "not run" for an order that ran.
+BOOST_DATA_TEST_CASE(ordersRunAtMostOnce, boost::unit_test::data::make(ORDER_FAULTS), row)
+{
+    running_site running(1);
+    running.setFaults(site_emulator::PLAIN_SERVICE, row.faults);
+    for (int i = 0; i < 12; ++i) {
+        site_caller::request request = running.site.orderRequest();
+        request.deadline = milliseconds(400);
+        const site_caller::answer answer = running.site.call(running.site.addresses("node-0").callers, request);
+        BOOST_TEST((row.statuses.count(answer.status) == 1));
+        const std::size_t runs = running.runsOf(request.id);
+        BOOST_TEST(runs <= 1U);
+        if (answer.status == 503) {
+            BOOST_TEST(runs == 0U);
+            BOOST_TEST(answer.retryAfterS > 0);
+        }
+    }
+}
+
+// Guards against queries that fail or are mislabelled when servers of some shards are lost.
+BOOST_AUTO_TEST_CASE(lostShardsAreLabelled)
+{
+    running_site running(1);
+    running.setFaults("shard-1", {0, 0, 0, true, milliseconds(0)});
+    for (int i = 0; i < 6; ++i) {
+        const site_caller::request request = running.site.queryRequest();
+        const site_caller::answer answer = running.site.call(running.site.addresses("node-0").callers, request);
+        BOOST_TEST(answer.status == 200U);
+        BOOST_TEST(answer.missing == 1U);
+        BOOST_TEST(running.site.problemOf(answer, request) == "");
+    }
+    running.setFaults("shard-2", {0, 0, 0, true, milliseconds(0)});
+    BOOST_TEST(running.site.query("node-0").status >= 500U);
+}
+
+// Guards against requests to servers that drain or are gone.
+BOOST_AUTO_TEST_CASE(leavingServersGetNothing)
+{
+    running_site running(1);
+    site_backend *leaving = running.site.onLoop([&] {
+        site_backend *server = running.site.serversOf("shard-0").front();
+        server->report("draining");
+        return server;
+    });
+    // The watch tells the node; queries that were sent before may still arrive.
+    BOOST_TEST(site_emulator::waitFor([&] {
+        const auto before = running.site.onLoop([&] { return leaving->arrivals(); });
+        for (int i = 0; i < 5; ++i) {
+            running.site.query("node-0");
+        }
+        return running.site.onLoop([&] { return leaving->arrivals(); }) == before;
+    }));
+}
+
+// Guards against servers being dropped because the store lost their entries while it was away, and against a node that ends with the store.
+BOOST_AUTO_TEST_CASE(theNodeServesThroughAnOutageOfTheStore)
+{
+    running_site running(1);
+    for (const auto condition : {site_store::condition::refusing, site_store::condition::silent}) {
+        running.site.onLoop([&] { running.site.store().setCondition(condition); });
+        for (int i = 0; i < 10; ++i) {
+            const site_caller::request request = running.site.queryRequest();
+            const site_caller::answer answer = running.site.call(running.site.addresses("node-0").callers, request);
+            BOOST_TEST(running.site.problemOf(answer, request) == "");
+            std::this_thread::sleep_for(milliseconds(50));
+        }
+        running.site.onLoop([&] { running.site.store().setCondition(site_store::condition::sound); });
+    }
+    // News arrives again, also after the history is gone.
+    running.site.onLoop([&] { running.site.store().forgetHistory(); });
+    running.site.configure([](json &configuration) { configuration["routes"][0]["path_prefix"] = "/changed/"; });
+    BOOST_TEST(site_emulator::waitFor([&] { return running.site.query("node-0").status == 404; }));
+}
+
+// Guards against a configuration that goes back to an older version.
+BOOST_AUTO_TEST_CASE(configurationsNeverGoBack)
+{
+    running_site running(1);
+    running.site.configure([](json &configuration) { configuration["routes"][0]["path_prefix"] = "/changed/"; });
+    BOOST_TEST(site_emulator::waitFor([&] { return running.site.query("node-0").status == 404; }));
+    running.site.onLoop([&] {
+        json old = running.site.store().find("config", "main")["spec"];
+        old["version"] = 1;
+        old["routes"][0]["path_prefix"] = "/query/";
+        running.site.store().put("config", "main", old);
+    });
+    for (int i = 0; i < 20; ++i) {
+        BOOST_TEST(running.site.query("node-0").status == 404U);
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+}
+
+// Guards against a query whose parts come from two versions of the set of shards.
+BOOST_AUTO_TEST_CASE(queriesKeepTheirVersionThroughAReshard)
+{
+    running_site running(1);
+    const std::vector<std::string> before = running.site.shards();
+    const std::vector<std::string> after{"new-0", "new-1", "new-2"};
+    for (const std::string &service : after) {
+        running.site.addServer(service, "zone-0");
+        running.site.addServer(service, "zone-1");
+    }
+    bool sawNew = false;
+    for (int i = 0; i < 200 && !sawNew; ++i) {
+        if (i == 20) {
+            running.site.configure([&](json &configuration) { configuration["routes"][0]["gather"] = after; });
+        }
+        const site_caller::request request = running.site.queryRequest();
+        const site_caller::answer answer = running.site.call(running.site.addresses("node-0").callers, request);
+        BOOST_REQUIRE(answer.status == 200U);
+        const auto &options = running.site.settings();
+        const std::string asOld = site_caller::problemOf(answer, request, before, options.records, options.top, options.leastCoverage);
+        const std::string asNew = site_caller::problemOf(answer, request, after, options.records, options.top, options.leastCoverage);
+        BOOST_TEST((asOld.empty() || asNew.empty()));
+        sawNew = asNew.empty();
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    BOOST_TEST(sawNew);
+}
+
+// Guards against a planned stop that cuts requests, and against callers being sent to a node that stops.
+BOOST_AUTO_TEST_CASE(plannedStopsCutNothing)
+{
+    running_site running(2);
+    const std::string stopping = running.site.addresses("node-0").callers;
+    BOOST_REQUIRE(site_emulator::waitFor([&] { return running.site.directory("node-1").size() == 2; }));
+    running.site.node("node-0").signal(SIGTERM);
+    BOOST_TEST(site_emulator::waitFor([&] { return running.site.directory("node-1") == std::vector<std::string>{running.site.addresses("node-1").callers}; }));
+    // The first request is answered whole and tells the caller to leave; later ones meet a closed port at the end of the grace time.
+    int whole = 0;
+    while (true) {
+        const site_caller::request request = running.site.queryRequest();
+        const site_caller::answer answer = running.site.call(stopping, request);
+        if (answer.status == 0) {
+            break;
+        }
+        BOOST_TEST(running.site.problemOf(answer, request) == "");
+        BOOST_TEST(answer.closes);
+        ++whole;
+        std::this_thread::sleep_for(milliseconds(10));
+    }
+    BOOST_TEST(whole > 0);
+    BOOST_TEST(running.site.node("node-0").wait() == 0);
+}
+
+// Guards against a directory that keeps naming a node that was killed, or forgets one that came back.
+BOOST_AUTO_TEST_CASE(theDirectoryFollowsTheNodes)
+{
+    running_site running(3);
+    const auto names = [&] { return running.site.directory("node-1").size(); };
+    BOOST_REQUIRE(site_emulator::waitFor([&] { return names() == 3; }));
+    running.site.node("node-0").signal(SIGKILL);
+    running.site.node("node-0").wait();
+    BOOST_TEST(site_emulator::waitFor([&] { return names() == 2; }));
+    running.site.startNode("node-0", "zone-0");
+    BOOST_TEST(site_emulator::waitFor([&] { return names() == 3; }));
+}
+
+// Guards against backend servers working for callers that are gone.
+BOOST_AUTO_TEST_CASE(workEndsWhenTheCallerLeaves)
+{
+    site_emulator::options options;
+    options.work = milliseconds(400);
+    options.queryTimeout = milliseconds(3000);
+    options.queryTarget = milliseconds(2000);
+    running_site running(1, options);
+    const auto endpoint = running.site.addresses("node-0").callers;
+    const auto waitingAt = [&] {
+        return running.site.onLoop([&] {
+            std::size_t working = 0;
+            for (const std::string &shard : running.site.shards()) {
+                for (site_backend *server : running.site.serversOf(shard)) {
+                    working += server->working();
+                }
+            }
+            return working;
+        });
+    };
+    const std::size_t runsBefore = waitingAt();
+    BOOST_TEST(runsBefore == 0U);
+    running.site.onLoop([&] {
+        client_call call;
+        call.address = endpoint;
+        const site_caller::request request = running.site.queryRequest();
+        call.bytes = "GET " + request.target + " HTTP/1.1\r\nHost: " + request.host + "\r\nRequest-Id: " + request.id + "\r\n\r\n";
+        call.deadline = std::chrono::steady_clock::now() + milliseconds(100);
+        running.site.caller().sendRaw(std::move(call));
+    });
+    BOOST_TEST(site_emulator::waitFor([&] { return running.site.logOf("node-0").find("outcome=caller_left") != std::string::npos; }));
+}
+
+// Guards against settings that take effect only after a restart, and against a broken file ending the process.
+BOOST_AUTO_TEST_CASE(settingsAreReloaded)
+{
+    running_site running(1);
+    running.site.writeBootFile("node-0", 123);
+    running.site.node("node-0").signal(SIGHUP);
+    BOOST_TEST(site_emulator::waitFor([&] { return running.site.logOf("node-0").find("event=settings.reloaded cause=signal") != std::string::npos; }));
+    running.site.writeBootFile("node-0", 124);
+    BOOST_TEST(site_emulator::waitFor([&] { return running.site.logOf("node-0").find("event=settings.reloaded cause=changed") != std::string::npos; }));
+    BOOST_TEST(running.site.query("node-0").status == 200U);
+}
+
+// Guards against metrics that on-call engineers can't read.
+BOOST_AUTO_TEST_CASE(metricsAreServed)
+{
+    running_site running(1);
+    running.site.query("node-0");
+    site_caller::request request;
+    request.target = "/metrics";
+    request.host = "metrics";
+    const site_caller::answer answer = running.site.call(running.site.addresses("node-0").metrics, request);
+    for (const char *metric : {"snipefall_requests_total{outcome=\"answered\"}", "snipefall_request_seconds_bucket", "snipefall_sub_requests_total"}) {
+        BOOST_TEST(answer.body.find(metric) != std::string::npos);
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -122,8 +122,8 @@
         m_environment.board.latencies.record(m_route.name, latency, at);
     }
     m_environment.metrics.subRequestEnded(toString(outcome), ended.repeated, latency);
-    if (outcome == try_outcome::timed_out || outcome == try_outcome::lost) {
-        // Other connections to the server may have gone silent or been forgotten by it as well.
+    if (outcome == try_outcome::timed_out) {
+        // Other connections to the server may have gone silent as well. A lost one says nothing of the others: a server that has too many resets new ones.
         m_environment.client.closeIdle(ended.server.address);
     }
     if (outcome != try_outcome::answered) {
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -11,6 +11,8 @@
 
 namespace {
 
+/** The platform may change the settings file without a signal. */
+constexpr duration BOOT_CHECK_INTERVAL = std::chrono::seconds(2);
 constexpr duration HOUSEKEEPING_INTERVAL = std::chrono::milliseconds(250);
 /** Until it has met its peers, a node takes the number of registered nodes for that of the live ones. */
 constexpr duration JOIN_TIME = std::chrono::seconds(10);
@@ -21,6 +23,12 @@
 /** Time in which the last answers leave the process. */
 constexpr duration FLUSH_TIME = std::chrono::milliseconds(150);
 
+std::filesystem::file_time_type writtenAt(const std::string &path)
+{
+    std::error_code ignored; // A file that is missing is reported when it is read.
+    return std::filesystem::last_write_time(path, ignored);
+}
+
 std::uint64_t randomSeed()
 {
     std::random_device device;
@@ -66,6 +74,7 @@
                      m_registeredNodes = addresses.size();
                      m_peers.setHints(std::move(addresses));
                  })
+    , m_bootWritten(writtenAt(m_settings.bootFile))
     , m_startedAt(system_clock().now())
 {
 }
@@ -203,8 +212,21 @@
     });
 }
 
+void tier_process::reloadIfChanged()
+{
+    const time_point now = system_clock().now();
+    if (now - m_bootCheckedAt < BOOT_CHECK_INTERVAL) {
+        return;
+    }
+    m_bootCheckedAt = now;
+    if (writtenAt(m_settings.bootFile) != m_bootWritten) {
+        reload("changed");
+    }
+}
+
 void tier_process::reload(std::string_view cause)
 {
+    m_bootWritten = writtenAt(m_settings.bootFile);
     outcome<boot_settings> read = readBootSettings(m_settings.bootFile);
     if (!read) {
         logError("settings.not_reloaded", {{"cause", std::string(cause)}, {"reason", read.reason().message}});
@@ -222,6 +244,7 @@
         m_site.refresh();
     }
     m_site.expire();
+    reloadIfChanged();
     applyBoot();
     joinPeersIfReady();
     after(m_housekeepingTimer, HOUSEKEEPING_INTERVAL, &tier_process::housekeeping);
--- a/tier/tier_process.h
+++ b/tier/tier_process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <filesystem>
 #include <memory>
 #include <optional>
 #include <string>
@@ -42,6 +43,7 @@
     void joinPeersIfReady();
     void waitForSignals();
     void reload(std::string_view cause);
+    void reloadIfChanged();
     void housekeeping();
     void beginStop();
     void endService();
@@ -69,6 +71,8 @@
     peer_link m_peers;
     node_register m_register;
     suspension_detector m_suspensions;
+    std::filesystem::file_time_type m_bootWritten; ///< When the settings file that is in force was written.
+    time_point m_bootCheckedAt;
     duration m_idleTimeout{}; ///< The longest that callers may rely on; see applyConfiguration().
     std::size_t m_registeredNodes = 0;
     time_point m_startedAt;
