Refuse at once on a node that reaches no servers, and leave it out of the directory

Ruled out: the retry budget (unreachable servers take no token). Change: a node answers 503 at once if too few services have a reachable server; the directory leaves out nodes under suspicion and itself when it is cut off; further attempts are spread; a second idle connection to a server is closed after 1 s, since connections of machines without power count against the server's limit.

--- a/http/async_http_client.cpp
+++ b/http/async_http_client.cpp
@@ -13,6 +13,11 @@
 
 /** Resolution of the time for which idle connections are kept. */
 constexpr std::chrono::milliseconds SWEEP_INTERVAL(250);
+/**
+ * A second idle connection to a server is closed when it was not used for this long. Servers bound their connections, and those of a machine that lost its power
+ * count until the server notices; a node must not hold more than it needs.
+ */
+constexpr std::chrono::milliseconds SURPLUS_TIME(1000);
 
 } // namespace
 
@@ -148,7 +153,10 @@
     const auto now = std::chrono::steady_clock::now();
     for (auto pool = m_pools.begin(); pool != m_pools.end();) {
         auto &idle = pool->second.idle;
-        const auto firstOver = std::stable_partition(idle.begin(), idle.end(), [now](const auto &item) { return now < item->keepUntil(); });
+        const auto lastUsed = idle.empty() ? nullptr : idle.back();
+        const auto firstOver = std::stable_partition(idle.begin(), idle.end(), [now, &lastUsed](const auto &item) {
+            return now < item->keepUntil() && (item == lastUsed || now - item->idleSince() < SURPLUS_TIME);
+        });
         std::for_each(firstOver, idle.end(), [](const auto &item) { item->close(); });
         idle.erase(firstOver, idle.end());
         pool = pool->second.inUse == 0 && idle.empty() ? m_pools.erase(pool) : std::next(pool);
--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -209,7 +209,8 @@
         m_served = true;
         const auto stated = keepAliveTime(m_result.response[beast::http::field::keep_alive]);
         const std::chrono::milliseconds kept = stated ? std::chrono::milliseconds(*stated) : m_options.defaultKeepTime;
-        m_keepUntil = std::chrono::steady_clock::now() + kept - m_options.keepMargin;
+        m_idleSince = std::chrono::steady_clock::now();
+        m_keepUntil = m_idleSince + kept - m_options.keepMargin;
     }
     if (!reusable) {
         close();
--- a/http/client_connection.h
+++ b/http/client_connection.h
@@ -35,6 +35,8 @@
     bool isSilent();
     /** Until when an idle connection may be used again. */
     steady_time keepUntil() const { return m_keepUntil; }
+    /** When the last call ended. */
+    steady_time idleSince() const { return m_idleSince; }
 
 private:
     void connect();
@@ -58,6 +60,7 @@
     std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> m_parser;
     std::function<void()> m_idleEnded;
     steady_time m_keepUntil;
+    steady_time m_idleSince;
     bool m_connected = false;
     bool m_waiting = false;
     bool m_writing = false;
--- a/policy/backend_health.cpp
+++ b/policy/backend_health.cpp
@@ -43,6 +43,7 @@
     m_failureShare *= kept;
     m_updated = now;
     const bool failed = outcome != try_outcome::answered;
+    m_unreachable = outcome == try_outcome::unreachable;
     m_failureShare += SAMPLE_WEIGHT * ((failed ? 1.0 : 0.0) - m_failureShare);
     if (!failed) {
         m_relativeLatency += SAMPLE_WEIGHT * (std::min(relativeLatency, MAX_SAMPLE) - m_relativeLatency);
@@ -89,6 +90,7 @@
     m_failureShare = 0.0;
     m_failuresInRow = 0;
     m_suspendedUntil = time_point{};
+    m_unreachable = false;
 }
 
 } // namespace snipefall
--- a/policy/backend_health.h
+++ b/policy/backend_health.h
@@ -25,6 +25,8 @@
     /** True while the server is not to be used because it failed repeatedly or could not be reached. */
     bool suspended(time_point now) const { return now < m_suspendedUntil; }
     time_point suspendedUntil() const { return m_suspendedUntil; }
+    /** True while it is suspended because no connection could be set up. */
+    bool unreachable(time_point now) const { return m_unreachable && suspended(now); }
     std::size_t inFlight() const { return m_inFlight.size(); }
     /** Forgets what was learned; sub-requests in flight are kept. */
     void reset();
@@ -39,6 +41,7 @@
     time_point m_updated{};
     time_point m_suspendedUntil{};
     unsigned m_failuresInRow = 0;
+    bool m_unreachable = false; ///< The last sub-request found no connection.
 };
 
 } // namespace snipefall
--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -272,6 +272,26 @@
         found->second.begin(), found->second.end(), [&](const server *candidate) { return usable(*candidate) && warmUpAllows(*candidate, now); });
 }
 
+bool backend_table::hasReachableServer(const service_id &service, time_point now) const
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end()) {
+        return false;
+    }
+    return std::any_of(found->second.begin(), found->second.end(), [&](const server *candidate) {
+        return usable(*candidate) && warmUpAllows(*candidate, now) && !candidate->health.unreachable(now);
+    });
+}
+
+double backend_table::unreachableShare(time_point now) const
+{
+    if (m_byService.empty()) {
+        return 0;
+    }
+    const auto lost = std::count_if(m_byService.begin(), m_byService.end(), [&](const auto &item) { return !hasReachableServer(item.first, now); });
+    return static_cast<double>(lost) / static_cast<double>(m_byService.size());
+}
+
 backend_health *backend_table::health(const backend_server_id &id)
 {
     const auto known = m_servers.find(id);
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -66,6 +66,10 @@
     choose(const service_id &service, const std::vector<backend_server_id> &excluded, suspended_servers suspended, duration usualLatency, time_point now);
     /** True if the service has a server that may get requests, suspended or not. */
     bool hasServer(const service_id &service, time_point now) const;
+    /** True if the service has such a server that could be reached when it was last tried. */
+    bool hasReachableServer(const service_id &service, time_point now) const;
+    /** The share of services without a reachable server, of all services that have servers. */
+    double unreachableShare(time_point now) const;
 
     /** The health of a listed server; null after it was dropped. */
     backend_health *health(const backend_server_id &id);
--- a/policy/request_execution.cpp
+++ b/policy/request_execution.cpp
@@ -10,7 +10,9 @@
 namespace {
 
 /** Attempts for one part; bounds the work that a request without any sound server causes. */
-constexpr std::size_t MAX_ATTEMPTS = 4;
+constexpr std::size_t MAX_ATTEMPTS = 5;
+/** Two attempts follow each other at once; a further one waits this long, doubled each time, because the servers need time to get sound. */
+constexpr duration FAILED_PAUSE = std::chrono::milliseconds(10);
 /** Until latencies are known, the usual one is taken for this part of the target, and a hedge is sent after twice this part. */
 constexpr int UNKNOWN_LATENCY_DIVISOR = 6;
 /** A hedge is sent at the latest after this part of the target, so that its answer can still be in time. */
@@ -56,8 +58,17 @@
 
 execution_step request_execution::start(time_point now)
 {
+    std::size_t reachable = 0;
     for (const part_state &part : m_parts) {
         m_budget.countRequest(part.service, now);
+        reachable += m_servers.hasReachableServer(part.service, now) ? 1 : 0;
+    }
+    if (m_route.isQuery() ? !enough(reachable) : reachable == 0) {
+        // Another node may reach the servers; the caller learns at once that this one does not.
+        execution_step step;
+        finish(execution_result::kind::not_run, "servers_unreachable", step);
+        step.result->retryAfter = std::min<duration>(RETRY_AFTER, m_route.targetLatency / 4);
+        return step;
     }
     return advance(now);
 }
@@ -87,6 +98,8 @@
     }
     if (outcome == try_outcome::not_run) {
         part.nextTry = now + REFUSED_PAUSE * (1U << std::min(part.notRun, 5U)) / 2;
+    } else if (outcome != try_outcome::answered && part.attempts.size() >= 2) {
+        part.nextTry = now + FAILED_PAUSE * (1U << (part.attempts.size() - 2));
     }
     return advance(now);
 }
@@ -335,11 +348,9 @@
 {
     finish(execution_result::kind::answered, "", step);
     for (const part_state &part : m_parts) {
-        if (part.answer == NONE) {
-            ++step.result->missing;
-            continue;
+        if (part.answer != NONE) {
+            step.result->subRequests.push_back(part.answer);
         }
-        step.result->subRequests.push_back(part.answer);
     }
 }
 
@@ -365,6 +376,7 @@
     step.result.emplace();
     step.result->outcome = outcome;
     step.result->reason = std::move(reason);
+    step.result->missing = static_cast<std::size_t>(std::count_if(m_parts.begin(), m_parts.end(), [](const part_state &part) { return part.answer == NONE; }));
 }
 
 } // namespace snipefall
--- a/tier/peer_link.cpp
+++ b/tier/peer_link.cpp
@@ -94,6 +94,16 @@
 }
 
 std::vector<entry_candidate> peer_link::entries() const
+{
+    return entriesWhere(false);
+}
+
+std::vector<entry_candidate> peer_link::doubtfulEntries() const
+{
+    return entriesWhere(true);
+}
+
+std::vector<entry_candidate> peer_link::entriesWhere(bool doubtful) const
 {
     std::map<node_id, incarnation> draining;
     for (const fact &item : m_engine.facts().all(now())) {
@@ -102,11 +112,14 @@
         }
     }
     std::vector<entry_candidate> result;
-    for (const node_id &id : m_engine.nodes().others().live()) {
+    for (const auto &[id, lastLive] : m_lastLive) {
         const member *peer = m_engine.nodes().others().find(id);
         const auto stopping = draining.find(id);
+        if (!peer || peer->callerAddress.empty() || peer->state == member_state::left || (peer->state != member_state::alive) != doubtful) {
+            continue;
+        }
         // The fact of an earlier run says nothing about a node that has started again.
-        if (!peer || peer->callerAddress.empty() || (stopping != draining.end() && stopping->second >= peer->firstStarted())) {
+        if (stopping != draining.end() && stopping->second >= peer->firstStarted()) {
             continue;
         }
         result.push_back({peer->callerAddress, peer->domain});
--- a/tier/peer_link.h
+++ b/tier/peer_link.h
@@ -35,13 +35,16 @@
     /** Tells the others that this node is gone. */
     void leave();
 
-    /** Live nodes besides this one that take callers. */
+    /** Nodes besides this one that take callers and answer probes. */
     std::vector<entry_candidate> entries() const;
+    /** Nodes that did not answer a probe or were lost a short time ago: they may live behind a cut that this node can't look through. */
+    std::vector<entry_candidate> doubtfulEntries() const;
     /** Nodes that may be sending to backend servers, this one included; nodes that were lost a short time ago count as well. */
     std::size_t nodeCount() const;
     std::size_t livePeers() const { return m_engine.nodes().others().live().size(); }
 
 private:
+    std::vector<entry_candidate> entriesWhere(bool doubtful) const;
     void receive();
     void handle(const std::string &from, std::string_view bytes);
     void tick();
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -107,12 +107,12 @@
 void request_runner::subRequestEnded(std::size_t id, client_result result)
 {
     sub_request &ended = m_subRequests[id];
-    ended.ended = true;
     const time_point at = now();
     try_outcome outcome = readSubAnswer(result);
     if (m_route.isQuery() && outcome == try_outcome::answered && result.response.result_int() >= 300) {
         outcome = try_outcome::server_error; // A failure is no part of a query's answer, whoever signed it.
     }
+    ended.outcome = outcome;
     const duration latency = at - ended.sentAt;
     const duration usual = m_environment.board.latencies.usual(m_route.name, latency);
     if (backend_health *health = m_environment.board.servers.health(ended.server.id)) {
@@ -195,7 +195,7 @@
 void request_runner::limitSubRequests(duration linger)
 {
     for (const sub_request &item : m_subRequests) {
-        if (!item.ended) {
+        if (!item.outcome) {
             m_environment.client.limitTo(item.call, linger);
         }
     }
@@ -231,6 +231,15 @@
 {
     const duration latency = now() - m_times.received;
     const auto repeated = std::count_if(m_subRequests.begin(), m_subRequests.end(), [](const sub_request &item) { return item.repeated; });
+    std::string ends;
+    for (int kind = 0; kind <= static_cast<int>(try_outcome::timed_out); ++kind) {
+        const auto count = std::count_if(m_subRequests.begin(), m_subRequests.end(), [kind](const sub_request &item) {
+            return item.outcome && static_cast<int>(*item.outcome) == kind;
+        });
+        if (count > 0) {
+            ends += fmt::format("{}{}:{}", ends.empty() ? "" : ",", toString(static_cast<try_outcome>(kind)), count);
+        }
+    }
     m_environment.metrics.requestEnded(m_route.name, std::string(outcome), latency);
     logInfo("request.ended",
             {{"request", m_request.id.str()},
@@ -242,6 +251,7 @@
              {"missing", std::to_string(missing)},
              {"sent", std::to_string(m_subRequests.size())},
              {"repeated", std::to_string(repeated)},
+             {"ends", ends.empty() ? "-" : ends},
              {"left_ms", fmt::format("{:.0f}", milliseconds(m_times.deadline - m_times.received))},
              {"ms", fmt::format("{:.1f}", milliseconds(latency))}});
 }
--- a/tier/request_runner.h
+++ b/tier/request_runner.h
@@ -2,7 +2,7 @@
 
 #include <functional>
 #include <memory>
-#include <unordered_map>
+#include <optional>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -54,7 +54,7 @@
         time_point sentAt;
         std::size_t part = 0;
         bool repeated = false;
-        bool ended = false;
+        std::optional<try_outcome> outcome; ///< Once it has ended.
         http_response_message answer;
     };
 
