Name strong nodes near the backend servers in the directory; make fewer store calls

Ruled out: the retry budget and the backend servers (p50 of single requests unchanged). Change: nodes tell each other their share of a processor; the directory names nodes with at least half of the greatest share in domains with at least half of the most servers, as long as four nodes in two domains remain.

--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -18,7 +18,7 @@
 /** Random part of a cost, so that nodes with the same knowledge don't all choose the same server. */
 constexpr double COST_JITTER = 0.05;
 /** A server in another failure domain has to be this much better, because bytes between failure domains are expensive. */
-constexpr double OTHER_DOMAIN_COST = 1.05;
+constexpr double OTHER_DOMAIN_COST = 1.4;
 /** Part of a server's connections that the nodes use together; the rest is left to nodes that this one does not know yet. */
 constexpr double CONNECTION_USE = 0.9;
 constexpr std::size_t FEWEST_CONNECTIONS = 2;
@@ -308,6 +308,17 @@
     return std::max<std::size_t>(static_cast<std::size_t>(share), FEWEST_CONNECTIONS);
 }
 
+std::map<failure_domain_id, std::size_t> backend_table::usableByDomain() const
+{
+    std::map<failure_domain_id, std::size_t> counts;
+    for (const auto &[id, known] : m_servers) {
+        if (usable(known)) {
+            ++counts[known.entry.domain];
+        }
+    }
+    return counts;
+}
+
 const backend_entry *backend_table::find(const backend_server_id &id) const
 {
     const auto known = m_servers.find(id);
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -77,6 +77,8 @@
     std::size_t connectionShare(const service_id &service) const;
     const backend_entry *find(const backend_server_id &id) const;
     std::size_t size() const { return m_servers.size(); }
+    /** Servers that may get requests, by failure domain. */
+    std::map<failure_domain_id, std::size_t> usableByDomain() const;
 
 private:
     struct server
--- a/policy/entry_choice.cpp
+++ b/policy/entry_choice.cpp
@@ -1,19 +1,64 @@
 #include "policy/entry_choice.h"
 
 #include <algorithm>
+#include <functional>
+#include <set>
 
 namespace snipefall {
 
-std::vector<std::string> chooseEntries(const std::vector<entry_candidate> &candidates, const failure_domain_id &callerDomain)
+namespace {
+
+/** Fewer nodes would feel the loss of one too much. */
+constexpr std::size_t FEWEST_ENTRIES = 4;
+/** The named nodes have to outlast the loss of a failure domain. */
+constexpr std::size_t FEWEST_DOMAINS = 2;
+/** Nodes and failure domains count as strong and near at this part of the greatest value. */
+constexpr double STRONG_PART = 0.5;
+
+using entry_test = std::function<bool(const entry_candidate &)>;
+
+bool enough(const std::vector<entry_candidate> &entries)
+{
+    std::set<failure_domain_id> domains;
+    for (const entry_candidate &entry : entries) {
+        domains.insert(entry.domain);
+    }
+    return entries.size() >= FEWEST_ENTRIES && domains.size() >= FEWEST_DOMAINS;
+}
+
+/** Keeps the entries that pass, unless they are too few. */
+void narrow(std::vector<entry_candidate> &entries, const entry_test &passes)
 {
-    std::vector<entry_candidate> ordered = candidates;
-    std::stable_partition(ordered.begin(), ordered.end(), [&](const entry_candidate &candidate) { return candidate.domain == callerDomain; });
+    std::vector<entry_candidate> kept;
+    std::copy_if(entries.begin(), entries.end(), std::back_inserter(kept), passes);
+    if (enough(kept)) {
+        entries = std::move(kept);
+    }
+}
+
+} // namespace
+
+std::vector<std::string> chooseEntries(const std::vector<entry_candidate> &candidates, const std::map<failure_domain_id, std::size_t> &serversByDomain)
+{
+    std::vector<entry_candidate> entries = candidates;
+    double strongest = 0;
+    for (const entry_candidate &candidate : candidates) {
+        strongest = std::max(strongest, candidate.cores);
+    }
+    narrow(entries, [strongest](const entry_candidate &entry) { return entry.cores >= STRONG_PART * strongest; });
+    std::size_t most = 0;
+    for (const auto &[domain, servers] : serversByDomain) {
+        most = std::max(most, servers);
+    }
+    narrow(entries, [&](const entry_candidate &entry) {
+        const auto found = serversByDomain.find(entry.domain);
+        return found != serversByDomain.end() && static_cast<double>(found->second) >= STRONG_PART * static_cast<double>(most);
+    });
     std::vector<std::string> addresses;
-    for (const entry_candidate &candidate : ordered) {
-        if (addresses.size() >= MAX_ENTRIES) {
-            break;
+    for (const entry_candidate &entry : entries) {
+        if (addresses.size() < MAX_ENTRIES) {
+            addresses.push_back(entry.callerAddress);
         }
-        addresses.push_back(candidate.callerAddress);
     }
     return addresses;
 }
--- a/policy/fact_kind.h
+++ b/policy/fact_kind.h
@@ -15,6 +15,7 @@
     suspected_request = 5,
     draining_node = 6,
     configuration = 7, ///< A configuration version was committed; the payload is its number.
+    node_capacity = 8, ///< The payload is the node's share of processor cores in thousandths.
 };
 
 } // namespace snipefall
--- /dev/null
+++ b/tests/policy/test_entry_choice.cpp
@@ -0,0 +1,67 @@
+#include <algorithm>
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "policy/entry_choice.h"
+
+using namespace snipefall;
+
+namespace {
+
+/** Nodes of one failure domain and size. */
+struct node_group
+{
+    const char *domain;
+    double cores;
+    std::size_t count;
+};
+
+struct choice_case
+{
+    const char *name;
+    std::vector<node_group> nodes;
+    std::map<failure_domain_id, std::size_t> servers;
+    std::size_t chosen;
+};
+
+std::ostream &operator<<(std::ostream &out, const choice_case &row)
+{
+    return out << row.name;
+}
+
+const failure_domain_id A("a");
+const failure_domain_id B("b");
+const failure_domain_id C("c");
+
+const choice_case CHOICE_CASES[] = {
+    {"equal nodes, servers everywhere", {{"a", 0.25, 2}, {"b", 0.25, 2}, {"c", 0.25, 3}}, {{A, 10}, {B, 10}, {C, 10}}, 7},
+    {"equal nodes, servers in two domains", {{"a", 0.25, 2}, {"b", 0.25, 2}, {"c", 0.25, 3}}, {{A, 20}, {B, 20}, {C, 2}}, 4},
+    {"too few nodes near the servers", {{"a", 0.25, 2}, {"b", 0.25, 1}, {"c", 0.25, 3}}, {{A, 20}, {B, 20}}, 6},
+    {"near nodes in one domain only", {{"a", 0.25, 6}, {"c", 0.25, 3}}, {{A, 20}}, 9},
+    {"strong nodes among weak ones", {{"a", 0.5, 2}, {"b", 0.5, 2}, {"a", 0.12, 20}, {"b", 0.12, 20}}, {{A, 10}, {B, 10}}, 4},
+    {"strong nodes in one domain only", {{"a", 0.5, 4}, {"b", 0.12, 20}}, {{A, 10}, {B, 10}}, 24},
+    {"capacities not known", {{"a", 0, 3}, {"b", 0, 3}}, {{A, 10}, {B, 10}}, 6},
+    {"no server known", {{"a", 0.25, 2}, {"b", 0.25, 2}}, {}, 4},
+    {"a single node", {{"a", 0.25, 1}}, {{B, 10}}, 1},
+    {"more nodes than an answer holds", {{"a", 0.25, 60}, {"b", 0.25, 60}}, {{A, 10}, {B, 10}}, MAX_ENTRIES},
+    {"nobody", {}, {{A, 10}}, 0},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(entry_choice_tests)
+
+// Guards against callers being sent to weak or remote nodes, and against so few nodes that the loss of one or of a failure domain leaves none.
+BOOST_DATA_TEST_CASE(choosesStrongNearNodes, boost::unit_test::data::make(CHOICE_CASES), row)
+{
+    std::vector<entry_candidate> candidates;
+    for (const node_group &group : row.nodes) {
+        for (std::size_t i = 0; i < group.count; ++i) {
+            candidates.push_back({"10.0.0.1:" + std::to_string(candidates.size()), failure_domain_id(group.domain), group.cores});
+        }
+    }
+    BOOST_TEST(chooseEntries(candidates, row.servers).size() == row.chosen);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tier/node_register.cpp
+++ b/tier/node_register.cpp
@@ -19,9 +19,9 @@
 {
 }
 
-void node_register::list()
+void node_register::list(read_freshness freshness)
 {
-    m_store.list(wire::NODES_KIND, [this](const outcome<object_listing> &listing) {
+    m_store.list(wire::NODES_KIND, freshness, [this](const outcome<object_listing> &listing) {
         if (!listing) {
             retry();
             return;
@@ -85,7 +85,7 @@
     m_timer.expires_after(RETRY_PAUSE);
     m_timer.async_wait([this](const boost::system::error_code &cancelled) {
         if (!cancelled) {
-            list();
+            list(read_freshness::newest);
         }
     });
 }
--- a/tier/node_register.h
+++ b/tier/node_register.h
@@ -19,12 +19,12 @@
     /** @p onListed gets the peer addresses of all registered nodes. */
     node_register(boost::asio::io_context &loop, store_client &store, member self, std::function<void(std::vector<std::string>)> onListed);
 
-    void start() { list(); }
+    void start() { list(read_freshness::seconds_old); }
     /** Removes the entry; for a planned stop. */
     void remove();
 
 private:
-    void list();
+    void list(read_freshness freshness);
     void write(object_version known);
     void retry();
 
--- a/tier/object_follower.cpp
+++ b/tier/object_follower.cpp
@@ -10,8 +10,8 @@
 
 /** A waiting watch is paid for once, so it waits long; silent connections are found by keep-alive probes. */
 constexpr duration WATCH_TIME = std::chrono::seconds(25);
-/** Changes that come together are read by one call. */
-constexpr duration COALESCE_TIME = std::chrono::milliseconds(100);
+/** Changes that come together are read by one call; far below the bounds on leaving servers and configurations. */
+constexpr duration COALESCE_TIME = std::chrono::milliseconds(250);
 constexpr duration FIRST_RETRY = std::chrono::milliseconds(100);
 /** Bounds the time until a store that is back is noticed, well below the bounds on applying what it holds. */
 constexpr duration LONGEST_RETRY = std::chrono::milliseconds(800);
@@ -29,19 +29,19 @@
 void object_follower::refresh()
 {
     m_timer.cancel();
-    list();
+    list(read_freshness::newest);
 }
 
-void object_follower::list()
+void object_follower::list(read_freshness freshness)
 {
     const std::uint64_t round = ++m_round;
-    m_store.list(m_kind, [this, round](const outcome<object_listing> &listing) {
+    m_store.list(m_kind, freshness, [this, round](const outcome<object_listing> &listing) {
         if (round != m_round) {
             return;
         }
         if (!listing) {
             failed(listing.reason());
-            after(std::min(FIRST_RETRY * (1U << std::min(m_failures, 4U)) / 2, LONGEST_RETRY), [this] { list(); });
+            after(std::min(FIRST_RETRY * (1U << std::min(m_failures, 4U)) / 2, LONGEST_RETRY), [this] { list(read_freshness::newest); });
             return;
         }
         succeeded();
@@ -64,7 +64,7 @@
             } else {
                 failed(changes.reason());
             }
-            list();
+            list(read_freshness::newest);
             return;
         }
         succeeded();
--- a/tier/object_follower.h
+++ b/tier/object_follower.h
@@ -22,12 +22,13 @@
 
     object_follower(boost::asio::io_context &loop, store_client &store, std::string kind, handlers callbacks);
 
-    void start() { list(); }
+    /** @p freshness holds for the first list; the watch brings what it lacks. */
+    void start(read_freshness freshness) { list(freshness); }
     /** Reads the complete list again as soon as possible, for example after the process was suspended. */
     void refresh();
 
 private:
-    void list();
+    void list(read_freshness freshness);
     void watch();
     void failed(const failure &reason);
     void succeeded();
--- a/tier/peer_link.cpp
+++ b/tier/peer_link.cpp
@@ -1,6 +1,7 @@
 #include "tier/peer_link.h"
 
 #include <algorithm>
+#include <cstdlib>
 
 #include <boost/asio/buffer.hpp>
 
@@ -22,6 +23,9 @@
 constexpr duration LOST_NODE_COUNTS = std::chrono::seconds(15);
 constexpr duration DRAINING_LIFETIME = std::chrono::seconds(30);
 constexpr char DRAINING_PREFIX[] = "draining/";
+constexpr duration CAPACITY_LIFETIME = std::chrono::hours(2);
+constexpr duration CAPACITY_INTERVAL = std::chrono::hours(1);
+constexpr char CAPACITY_PREFIX[] = "capacity/";
 
 envelope_settings envelopeSettings(const member &self, const std::string &clusterName)
 {
@@ -36,10 +40,11 @@
 
 } // namespace
 
-peer_link::peer_link(boost::asio::io_context &loop, member self, const std::string &clusterName, std::uint64_t seed)
+peer_link::peer_link(boost::asio::io_context &loop, member self, double cores, const std::string &clusterName, std::uint64_t seed)
     : m_socket(loop)
     , m_timer(loop)
     , m_self(std::move(self))
+    , m_cores(cores)
     , m_codec(envelopeSettings(m_self, clusterName))
     , m_guard(2 * MAX_CLOCK_SKEW_MS)
     , m_engine(gossip_settings(), m_self, seed)
@@ -64,6 +69,7 @@
     m_socket.non_blocking(true);
     m_engine.nodes().setSeeds(seeds);
     receive();
+    announceCapacity();
     tick();
     return std::nullopt;
 }
@@ -75,17 +81,28 @@
 }
 
 void peer_link::announceStop()
+{
+    publish(fact_kind::draining_node, DRAINING_PREFIX + m_self.id.str(), m_self.id.str(), DRAINING_LIFETIME);
+    send(m_engine.pushNews(now()));
+}
+
+void peer_link::announceCapacity()
+{
+    m_capacityAnnounced = now();
+    const std::string thousandths = std::to_string(static_cast<long>(m_cores * 1000));
+    publish(fact_kind::node_capacity, CAPACITY_PREFIX + m_self.id.str(), m_self.id.str() + "=" + thousandths, CAPACITY_LIFETIME);
+}
+
+void peer_link::publish(fact_kind kind, const std::string &key, const std::string &payload, duration lifetime)
 {
     fact item;
-    item.kind = fact_kind::draining_node;
-    item.key = DRAINING_PREFIX + m_self.id.str();
-    item.payload = m_self.id.str();
-    item.lifetime = DRAINING_LIFETIME;
+    item.kind = kind;
+    item.key = key;
+    item.payload = payload;
+    item.lifetime = lifetime;
     if (const auto published = m_engine.publish(now(), std::move(item)); !published) {
-        logWarning("peers.stop_not_announced", {{"reason", published.reason().message}});
-        return;
+        logWarning("peers.fact_not_published", {{"key", key}, {"reason", published.reason().message}});
     }
-    send(m_engine.pushNews(now()));
 }
 
 void peer_link::leave()
@@ -106,10 +123,15 @@
 std::vector<entry_candidate> peer_link::entriesWhere(bool doubtful) const
 {
     std::map<node_id, incarnation> draining;
+    std::map<node_id, double> cores;
     for (const fact &item : m_engine.facts().all(now())) {
         if (item.kind == fact_kind::draining_node) {
             draining[node_id(item.payload)] = item.originIncarnation;
         }
+        const std::size_t equals = item.payload.rfind('=');
+        if (item.kind == fact_kind::node_capacity && equals != std::string::npos) {
+            cores[node_id(item.payload.substr(0, equals))] = std::strtod(item.payload.c_str() + equals + 1, nullptr) / 1000;
+        }
     }
     std::vector<entry_candidate> result;
     for (const auto &[id, lastLive] : m_lastLive) {
@@ -122,7 +144,8 @@
         if (stopping != draining.end() && stopping->second >= peer->firstStarted()) {
             continue;
         }
-        result.push_back({peer->callerAddress, peer->domain});
+        const auto capacity = cores.find(id);
+        result.push_back({peer->callerAddress, peer->domain, capacity == cores.end() ? 0 : capacity->second});
     }
     return result;
 }
@@ -172,6 +195,9 @@
     for (const node_id &id : m_engine.nodes().others().live()) {
         m_lastLive[id] = at;
     }
+    if (at - m_capacityAnnounced >= CAPACITY_INTERVAL) {
+        announceCapacity();
+    }
     std::erase_if(m_lastLive, [at](const auto &item) { return at - item.second >= LOST_NODE_COUNTS; });
     m_timer.expires_after(TICK_INTERVAL);
     m_timer.async_wait([this](const boost::system::error_code &cancelled) {
--- a/tier/peer_link.h
+++ b/tier/peer_link.h
@@ -23,8 +23,8 @@
 class peer_link
 {
 public:
-    /** @p clusterName keeps nodes of other deployments apart. */
-    peer_link(boost::asio::io_context &loop, member self, const std::string &clusterName, std::uint64_t seed);
+    /** @p clusterName keeps nodes of other deployments apart; @p cores is this node's share of processor cores. */
+    peer_link(boost::asio::io_context &loop, member self, double cores, const std::string &clusterName, std::uint64_t seed);
 
     /** Binds the node's peer address; returns why that failed, or nothing. */
     std::optional<std::string> start(const std::vector<std::string> &seeds);
@@ -45,6 +45,8 @@
 
 private:
     std::vector<entry_candidate> entriesWhere(bool doubtful) const;
+    void publish(fact_kind kind, const std::string &key, const std::string &payload, duration lifetime);
+    void announceCapacity();
     void receive();
     void handle(const std::string &from, std::string_view bytes);
     void tick();
@@ -54,6 +56,8 @@
     boost::asio::ip::udp::socket m_socket;
     boost::asio::steady_timer m_timer;
     member m_self;
+    double m_cores;
+    time_point m_capacityAnnounced;
     envelope_codec m_codec;
     replay_guard m_guard;
     gossip_engine m_engine;
--- a/tier/site_controller.cpp
+++ b/tier/site_controller.cpp
@@ -78,11 +78,12 @@
     setBounds(settings);
 }
 
-void site_controller::start()
+void site_controller::start(bool firstStart)
 {
-    m_configuration.start();
-    m_backends.start();
-    m_domains.start();
+    const read_freshness freshness = firstStart ? read_freshness::seconds_old : read_freshness::newest;
+    m_configuration.start(freshness);
+    m_backends.start(freshness);
+    m_domains.start(freshness);
 }
 
 void site_controller::refresh()
--- a/tier/site_controller.h
+++ b/tier/site_controller.h
@@ -19,7 +19,8 @@
 public:
     site_controller(boost::asio::io_context &loop, store_client &store, tier_blackboard &board, const boot_settings &settings);
 
-    void start();
+    /** In the first start of the whole system a list that is a little old will do. */
+    void start(bool firstStart);
     /** Applies bounds that have changed. */
     void setBounds(const boot_settings &settings);
     /** Reads everything anew, because what is known may be older than it seems. */
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -68,7 +68,7 @@
     , m_directoryServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { answerDirectory(*exchange); })
     , m_metricsServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { answerMetrics(*exchange); })
     , m_self(ownRecord(m_boot))
-    , m_peers(m_loop, m_self, m_boot.storeAddress, m_seed + 2)
+    , m_peers(m_loop, m_self, m_boot.processorCores, m_boot.storeAddress, m_seed + 2)
     , m_register(m_loop,
                  m_store,
                  m_self,
@@ -94,7 +94,7 @@
              {"incarnation", std::to_string(m_self.started.value())}});
     m_site.onConfiguration([this](const site_configuration &configuration) { applyConfiguration(configuration); });
     applyBoot();
-    m_site.start();
+    m_site.start(m_boot.firstStart);
     waitForSignals();
     housekeeping();
     m_loop.run();
@@ -131,22 +131,21 @@
 
 void tier_process::answerDirectory(http_exchange &exchange)
 {
-    const auto callerDomain = readDirectoryQuestion(exchange.request());
-    if (!callerDomain) {
+    if (!isDirectoryQuestion(exchange.request())) {
         exchange.respond(ownAnswer(404, request_id(), "no_route", duration::zero()));
         return;
     }
     std::vector<entry_candidate> candidates = m_peers.entries();
     const bool useful = m_board.servers.unreachableShare(system_clock().now()) < MAX_UNREACHABLE_SHARE;
     if (m_board.ready() && useful) {
-        candidates.push_back({m_boot.callerAddress, m_boot.domain});
+        candidates.push_back({m_boot.callerAddress, m_boot.domain, m_boot.processorCores});
     }
     if (candidates.empty() && !useful) {
         // Cut off from peers and servers alike: callers may reach the nodes on the other side.
         candidates = m_peers.doubtfulEntries();
     }
     if (candidates.empty() && m_board.ready()) {
-        candidates.push_back({m_boot.callerAddress, m_boot.domain});
+        candidates.push_back({m_boot.callerAddress, m_boot.domain, m_boot.processorCores});
     }
     if (candidates.empty()) {
         logInfo("directory.empty", {{"ready", m_board.ready() ? "yes" : "no"}, {"peers", std::to_string(m_peers.livePeers())}});
@@ -154,7 +153,7 @@
         return;
     }
     const duration keep = std::min(m_settings.directoryTime, m_boot.longestDirectoryTime);
-    exchange.respond(directoryAnswer(chooseEntries(candidates, *callerDomain), keep));
+    exchange.respond(directoryAnswer(chooseEntries(candidates, m_board.servers.usableByDomain()), keep));
 }
 
 void tier_process::answerMetrics(http_exchange &exchange)
