Add a randomized fault soak, and refuse 503 of a server that does not say that nothing ran

The soak runs nodes as processes under load and injects faults from outside: proxies before servers and store, signals, faults of servers and store, reshards and draining servers. It checks labels, records, at-most-once, refusals, time limits, planned stops and the recovery. A status 408, 429 or 503 without the marker that nothing ran was passed on to the caller, to whom it says that nothing ran.

--- a/http/async_http_client.cpp
+++ b/http/async_http_client.cpp
@@ -14,8 +14,8 @@
 /** Resolution of the time for which idle connections are kept. */
 constexpr std::chrono::milliseconds SWEEP_INTERVAL(250);
 /**
- * A second idle connection to a server is closed when it was not used for this long. Servers bound their connections, and those of a machine that lost its power
- * count until the server notices; a node must not hold more than it needs.
+ * A second idle connection to a server is closed when it was not used for this long. Servers bound their connections, and those of a machine that lost its
+ * power count until the server notices; a node must not hold more than it needs.
  */
 constexpr std::chrono::milliseconds SURPLUS_TIME(1000);
 
--- a/policy/entry_choice.h
+++ b/policy/entry_choice.h
@@ -22,8 +22,8 @@
 /**
  * The addresses that callers get.
  *
- * Queries are answered sooner and with fewer bytes between failure domains by strong nodes near the backend servers, and nodes with more traffic each have warmer
- * connections and better estimates. Others are left out as long as enough of those remain. @p serversByDomain counts the backend servers.
+ * Queries are answered sooner and with fewer bytes between failure domains by strong nodes near the backend servers, and nodes with more traffic each have
+ * warmer connections and better estimates. Others are left out as long as enough of those remain. @p serversByDomain counts the backend servers.
  */
 std::vector<std::string> chooseEntries(const std::vector<entry_candidate> &candidates, const std::map<failure_domain_id, std::size_t> &serversByDomain);
 
--- a/tests/http/test_async_http_server.cpp
+++ b/tests/http/test_async_http_server.cpp
@@ -146,8 +146,8 @@
 {
     server_fixture fixture;
     tcp::socket socket = fixture.connect();
-    const std::string received
-        = fixture.exchange(socket, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n", std::chrono::milliseconds(300));
+    const std::string received =
+        fixture.exchange(socket, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n", std::chrono::milliseconds(300));
     const std::size_t first = received.find("GET /1");
     const std::size_t second = received.find("GET /2");
     BOOST_TEST((first != std::string::npos && second != std::string::npos && first < second));
--- a/tests/platform/test_caller_messages.cpp
+++ b/tests/platform/test_caller_messages.cpp
@@ -65,7 +65,10 @@
     {"a failure", client_result::kind::answered, 500, {{"Server-Stamp", "s"}}, try_outcome::server_error},
     {"a deadline that passed", client_result::kind::answered, 504, {{"Server-Stamp", "s"}}, try_outcome::server_error},
     {"a full server", client_result::kind::answered, 503, {{"Not-Executed", "1"}}, try_outcome::not_run},
-    {"503 that does not say that nothing ran", client_result::kind::answered, 503, {}, try_outcome::server_error},
+    {"503 that does not say that nothing ran", client_result::kind::answered, 503, {{"Server-Stamp", "s"}}, try_outcome::malformed},
+    {"429 that does not say that nothing ran", client_result::kind::answered, 429, {{"Server-Stamp", "s"}}, try_outcome::malformed},
+    {"408 that does not say that nothing ran", client_result::kind::answered, 408, {{"Server-Stamp", "s"}}, try_outcome::malformed},
+    {"429 that says that nothing ran", client_result::kind::answered, 429, {{"Not-Executed", "1"}}, try_outcome::not_run},
     {"another server", client_result::kind::answered, 421, {{"Instance-Id", "i"}}, try_outcome::wrong_server},
     {"no connection", client_result::kind::not_sent, 0, {}, try_outcome::unreachable},
     {"a lost answer", client_result::kind::lost, 0, {}, try_outcome::lost},
@@ -112,7 +115,9 @@
                                                {"X-Kept", "2"}},
                                               "body"));
     const std::string bytes = writer.write(backend_server_id("i-1"), std::chrono::microseconds(123999));
-    BOOST_TEST(bytes == "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nX-Kept: 2\r\nContent-Length: 4\r\nDeadline-Ms: 123\r\nExpect-Instance: i-1\r\n\r\nbody");
+    BOOST_TEST(
+        bytes
+        == "POST /a/b?c=d HTTP/1.1\r\nHost: h\r\nRequest-Id: r1\r\nX-Kept: 2\r\nContent-Length: 4\r\nDeadline-Ms: 123\r\nExpect-Instance: i-1\r\n\r\nbody");
 }
 
 // Guards against an answer that belongs to another request.
--- a/tests/policy/test_shared_retry_budget.cpp
+++ b/tests/policy/test_shared_retry_budget.cpp
@@ -90,8 +90,7 @@
     for (int i = 0; i < 200; ++i) {
         budget.countRequest(SERVICE, now);
     }
-    while (budget.tryAcquire(SERVICE, extra_send::hedge, now)) {
-    }
+    while (budget.tryAcquire(SERVICE, extra_send::hedge, now)) { }
     BOOST_TEST(budget.tryAcquire(SERVICE, extra_send::retry, now));
 }
 
@@ -101,8 +100,7 @@
     shared_retry_budget budget;
     budget.setLimits({0.0, 8, WINDOW}, 1);
     time_point now{std::chrono::hours(1)};
-    while (budget.tryAcquire(SERVICE, extra_send::retry, now)) {
-    }
+    while (budget.tryAcquire(SERVICE, extra_send::retry, now)) { }
     BOOST_TEST(!budget.tryAcquire(SERVICE, extra_send::retry, now + WINDOW / 2));
     BOOST_TEST(budget.tryAcquire(SERVICE, extra_send::retry, now + WINDOW * 2));
 }
--- /dev/null
+++ b/tests/soak/soak_main.cpp
@@ -0,0 +1,79 @@
+#include <cstdlib>
+
+#include <fmt/format.h>
+#include <getopt.h>
+
+#include "tests/soak/soak_run.h"
+
+using namespace snipefall;
+
+namespace {
+
+constexpr int EXIT_BROKEN = 1;
+constexpr int EXIT_USAGE = 2;
+
+void printUsage()
+{
+    fmt::print("soak [--seed N] [--seeds N] [--seconds N] [--nodes N] [--shards N] [--rate N]\n"
+               "  Runs nodes under load and faults with the seeds from --seed on, and prints every broken promise.\n");
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    soak_run::options options;
+    unsigned seeds = 1;
+    const option known[] = {{"seed", required_argument, nullptr, 's'},
+                            {"seeds", required_argument, nullptr, 'c'},
+                            {"seconds", required_argument, nullptr, 't'},
+                            {"nodes", required_argument, nullptr, 'n'},
+                            {"shards", required_argument, nullptr, 'h'},
+                            {"rate", required_argument, nullptr, 'r'},
+                            {nullptr, 0, nullptr, 0}};
+    for (int letter = getopt_long(argc, argv, "", known, nullptr); letter != -1; letter = getopt_long(argc, argv, "", known, nullptr)) {
+        const unsigned value = letter == '?' ? 0 : static_cast<unsigned>(std::strtoul(optarg, nullptr, 10));
+        switch (letter) {
+        case 's':
+            options.seed = value;
+            break;
+        case 'c':
+            seeds = value;
+            break;
+        case 't':
+            options.trouble = std::chrono::seconds(value);
+            break;
+        case 'n':
+            options.nodes = value;
+            break;
+        case 'h':
+            options.shards = value;
+            break;
+        case 'r':
+            options.requestsPerSecond = value;
+            break;
+        default:
+            printUsage();
+            return EXIT_USAGE;
+        }
+    }
+    int failed = 0;
+    for (unsigned i = 0; i < seeds; ++i, ++options.seed) {
+        soak_run soak(options);
+        const std::vector<std::string> broken = soak.run();
+        fmt::print("seed {}: {}; {}\n", options.seed, broken.empty() ? "kept" : "BROKEN", soak.summary());
+        std::fflush(stdout);
+        if (broken.empty()) {
+            continue;
+        }
+        ++failed;
+        for (const std::string &fault : soak.history()) {
+            fmt::print("  fault {}\n", fault);
+        }
+        for (const std::string &what : broken) {
+            fmt::print("  BROKEN {}\n", what);
+        }
+    }
+    fmt::print("{} kept, {} broken\n", seeds - static_cast<unsigned>(failed), failed);
+    return failed == 0 ? 0 : EXIT_BROKEN;
+}
--- /dev/null
+++ b/tests/soak/test_soak.cpp
@@ -0,0 +1,44 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "tests/soak/soak_run.h"
+
+using namespace snipefall;
+
+namespace {
+
+/** A short run, or one with a seed that failed before. */
+struct soak_case
+{
+    unsigned seed;
+    const char *cause; ///< Of its failure, if it ever failed.
+};
+
+std::ostream &operator<<(std::ostream &out, const soak_case &row)
+{
+    return out << row.seed << " " << row.cause;
+}
+
+const soak_case SOAK_CASES[] = {
+    {1, "never failed"},
+    {2, "never failed"},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(soak_tests)
+
+// Guards against promises that are broken under faults that overlap.
+BOOST_DATA_TEST_CASE(promisesAreKept, boost::unit_test::data::make(SOAK_CASES), row)
+{
+    soak_run::options options;
+    options.seed = row.seed;
+    options.trouble = std::chrono::seconds(6);
+    soak_run soak(options);
+    for (const std::string &what : soak.run()) {
+        BOOST_ERROR(what);
+    }
+    BOOST_TEST_MESSAGE(soak.summary());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/tests/stand_ins/loopback_proxy.cpp
@@ -0,0 +1,162 @@
+#include "tests/stand_ins/loopback_proxy.h"
+
+#include <array>
+#include <functional>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include "http/endpoint_text.h"
+
+namespace snipefall {
+
+using boost::asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::milliseconds DELAY(150);
+
+} // namespace
+
+/** One connection through the proxy. */
+class loopback_proxy::link : public std::enable_shared_from_this<link>
+{
+public:
+    link(const loopback_proxy &owner, tcp::socket caller)
+        : m_fault(owner.m_fault)
+        , m_caller(std::move(caller))
+        , m_server(owner.m_loop)
+        , m_timer(owner.m_loop)
+    {
+    }
+
+    void start(const tcp::endpoint &server)
+    {
+        m_server.async_connect(server, [self = shared_from_this()](const boost::system::error_code &error) {
+            if (error) {
+                self->close();
+                return;
+            }
+            self->pump(self->m_caller, self->m_server, self->m_toServer, false);
+            self->pump(self->m_server, self->m_caller, self->m_toCaller, true);
+        });
+    }
+
+    void setFault(fault now)
+    {
+        m_fault = now;
+        if (now == fault::reset) {
+            boost::system::error_code ignored; // A connection that is closed already is what is wanted.
+            m_caller.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            m_server.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+            close();
+        }
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored; // A connection that is closed already is what is wanted.
+        m_caller.close(ignored);
+        m_server.close(ignored);
+        m_timer.cancel();
+    }
+
+private:
+    using buffer = std::array<char, 8192>;
+
+    void pump(tcp::socket &from, tcp::socket &to, buffer &bytes, bool answers)
+    {
+        from.async_read_some(boost::asio::buffer(bytes),
+                             [=, this, self = shared_from_this(), &from, &to, &bytes](const boost::system::error_code &error, std::size_t count) {
+                                 if (error) {
+                                     // The end of a silenced connection is not seen by the other side either.
+                                     if (m_fault != fault::silent) {
+                                         close();
+                                     }
+                                     return;
+                                 }
+                                 if (m_fault == fault::silent || (m_fault == fault::one_way && answers)) {
+                                     pump(from, to, bytes, answers);
+                                     return;
+                                 }
+                                 const auto forward = [=, this, self = self, &from, &to, &bytes] {
+                                     boost::asio::async_write(to,
+                                                              boost::asio::buffer(bytes, count),
+                                                              [=, this, self = self, &from, &to, &bytes](const boost::system::error_code &failed, std::size_t) {
+                                                                  if (failed) {
+                                                                      close();
+                                                                      return;
+                                                                  }
+                                                                  pump(from, to, bytes, answers);
+                                                              });
+                                 };
+                                 if (m_fault != fault::delayed) {
+                                     forward();
+                                     return;
+                                 }
+                                 const auto timer = std::make_shared<boost::asio::steady_timer>(from.get_executor(), DELAY);
+                                 timer->async_wait([forward, timer](const boost::system::error_code &) { forward(); });
+                             });
+    }
+
+    fault m_fault;
+    tcp::socket m_caller;
+    tcp::socket m_server;
+    boost::asio::steady_timer m_timer;
+    buffer m_toServer{};
+    buffer m_toCaller{};
+};
+
+loopback_proxy::loopback_proxy(boost::asio::io_context &loop, std::string target)
+    : m_loop(loop)
+    , m_target(std::move(target))
+    , m_acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+{
+    accept();
+}
+
+loopback_proxy::~loopback_proxy()
+{
+    for (const auto &weak : m_links) {
+        if (const auto open = weak.lock()) {
+            open->close();
+        }
+    }
+}
+
+std::string loopback_proxy::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+}
+
+void loopback_proxy::setFault(fault now)
+{
+    m_fault = now;
+    m_links.remove_if([](const auto &weak) { return weak.expired(); });
+    for (const auto &weak : m_links) {
+        if (const auto open = weak.lock()) {
+            open->setFault(now);
+        }
+    }
+}
+
+void loopback_proxy::accept()
+{
+    m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
+        if (error == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (!error) {
+            const auto opened = std::make_shared<link>(*this, std::move(socket));
+            if (m_fault == fault::reset) {
+                opened->setFault(fault::reset);
+            } else if (const auto server = parseEndpoint(m_target)) {
+                m_links.push_back(opened);
+                opened->start(*server);
+            }
+        }
+        accept();
+    });
+}
+
+} // namespace snipefall
--- a/tests/stand_ins/site_backend.cpp
+++ b/tests/stand_ins/site_backend.cpp
@@ -27,6 +27,7 @@
     , m_startedMs(wallClockMs())
 {
     m_server.listen("127.0.0.1:0");
+    m_advertised = address();
     report("ready");
 }
 
@@ -35,12 +36,18 @@
     return "127.0.0.1:" + std::to_string(m_server.port());
 }
 
+void site_backend::advertise(const std::string &address)
+{
+    m_advertised = address;
+    report("ready");
+}
+
 void site_backend::report(const std::string &state)
 {
     m_store.put("servers",
                 m_options.id,
                 {{"service", m_options.service},
-                 {"address", address()},
+                 {"address", m_advertised},
                  {"zone", m_options.domain},
                  {"version", "v1"},
                  {"slots", m_options.slots},
--- a/tests/stand_ins/site_backend.h
+++ b/tests/stand_ins/site_backend.h
@@ -52,7 +52,10 @@
     site_backend(boost::asio::io_context &loop, site_store &store, options settings);
 
     const options &settings() const { return m_options; }
+    /** Where it listens. */
     std::string address() const;
+    /** Makes its entry name another address, for example that of a proxy before it. */
+    void advertise(const std::string &address);
     void setFaults(const faults &now) { m_faults = now; }
     /** Writes its entry; @p state is "ready" or "draining". */
     void report(const std::string &state);
@@ -79,6 +82,7 @@
     site_store &m_store;
     options m_options;
     faults m_faults;
+    std::string m_advertised;
     async_http_server m_server;
     std::deque<waiting> m_queue;
     std::vector<std::shared_ptr<http_exchange>> m_unanswered;
--- a/tests/stand_ins/site_caller.h
+++ b/tests/stand_ins/site_caller.h
@@ -48,8 +48,8 @@
      *
      * Each shard holds @p records records; the answer has to be the greatest @p top of the parts that it names.
      */
-    static std::string problemOf(
-        const answer &received, const request &sent, const std::vector<std::string> &shards, std::size_t records, std::size_t top, double leastShare);
+    static std::string
+    problemOf(const answer &received, const request &sent, const std::vector<std::string> &shards, std::size_t records, std::size_t top, double leastShare);
 
 private:
     async_http_client m_client;
--- a/tests/stand_ins/site_emulator.cpp
+++ b/tests/stand_ins/site_emulator.cpp
@@ -49,39 +49,44 @@
     for (std::size_t k = 0; k < m_options.plainServers; ++k) {
         addServer(PLAIN_SERVICE, "zone-" + std::to_string(k % 2));
     }
-    m_configuration = {
-        {"version", 1},
-        {"routes",
-         json::array({{{"name", "query"},
-                       {"host", HOST},
-                       {"path_prefix", "/query/"},
-                       {"route_kind", "idempotent"},
-                       {"timeout_ms", m_options.queryTimeout.count()},
-                       {"target_latency_ms", m_options.queryTarget.count()},
-                       {"priority", 1},
-                       {"attempts", 2},
-                       {"gather", m_shards},
-                       {"top_k", m_options.top},
-                       {"min_coverage", m_options.leastCoverage}},
-                      {{"name", "order"},
-                       {"host", HOST},
-                       {"path_prefix", "/order/"},
-                       {"route_kind", "non_idempotent"},
-                       {"timeout_ms", 3000},
-                       {"target_latency_ms", 400},
-                       {"priority", 1},
-                       {"attempts", 2},
-                       {"service", PLAIN_SERVICE}}})},
-        {"services", json::array()},
-        {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 65536}, {"header_timeout_ms", 2000}, {"idle_timeout_ms", 5000}}}};
+    m_configuration = {{"version", 1},
+                       {"routes",
+                        json::array({{{"name", "query"},
+                                      {"host", HOST},
+                                      {"path_prefix", "/query/"},
+                                      {"route_kind", "idempotent"},
+                                      {"timeout_ms", m_options.queryTimeout.count()},
+                                      {"target_latency_ms", m_options.queryTarget.count()},
+                                      {"priority", 1},
+                                      {"attempts", 2},
+                                      {"gather", m_shards},
+                                      {"top_k", m_options.top},
+                                      {"min_coverage", m_options.leastCoverage}},
+                                     {{"name", "order"},
+                                      {"host", HOST},
+                                      {"path_prefix", "/order/"},
+                                      {"route_kind", "non_idempotent"},
+                                      {"timeout_ms", 3000},
+                                      {"target_latency_ms", 400},
+                                      {"priority", 1},
+                                      {"attempts", 2},
+                                      {"service", PLAIN_SERVICE}}})},
+                       {"services", json::array()},
+                       {"limits", {{"max_header_bytes", 16384}, {"max_body_bytes", 65536}, {"header_timeout_ms", 2000}, {"idle_timeout_ms", 5000}}}};
     configure([](json &) {});
 }
 
 site_emulator::~site_emulator()
 {
-    m_nodes.clear();
+    for (auto &[name, state] : m_nodes) {
+        state.process.reset();
+    }
     onLoop([this] {
         m_caller.reset();
+        m_serverProxies.clear();
+        for (auto &[name, state] : m_nodes) {
+            state.storeProxy.reset();
+        }
         m_servers.clear();
         m_store.reset();
     });
@@ -100,7 +105,13 @@
     server.domain = domain;
     server.work = m_options.work;
     server.records = m_options.records;
-    onLoop([&] { m_servers.push_back(std::make_unique<site_backend>(m_loop, *m_store, server)); });
+    onLoop([&] {
+        m_servers.push_back(std::make_unique<site_backend>(m_loop, *m_store, server));
+        if (m_options.proxies) {
+            m_serverProxies.push_back(std::make_unique<loopback_proxy>(m_loop, m_servers.back()->address()));
+            m_servers.back()->advertise(m_serverProxies.back()->address());
+        }
+    });
     return server.id;
 }
 
@@ -112,26 +123,24 @@
 void site_emulator::writeBootFile(const std::string &name, unsigned retrySlack) const
 {
     const node_state &state = m_nodes.at(name);
-    const json boot{{"node_name", name},
-                    {"zone", state.domain},
-                    {"listen_addrs",
-                     {{"front", state.addresses.callers},
-                      {"ready", state.addresses.ready},
-                      {"directory", state.addresses.directory},
-                      {"control", state.addresses.peers}}},
-                    {"seeds", m_seeds},
-                    {"limits", {{"memory_mb", 260}, {"max_fds", 1024}}},
-                    {"bounds",
-                     {{"drain_ms", 3000},
-                      {"grace_s", m_options.graceSeconds},
-                      {"config_apply_ms", 3000},
-                      {"retry_budget_ratio", 0.2},
-                      {"retry_slack", retrySlack},
-                      {"retry_window_s", 10},
-                      {"warmup_overrun", 1.5},
-                      {"warmup_slack", 5},
-                      {"ttl_max_s", 5}}},
-                    {"platform", {{"address", m_store->address()}}}};
+    const json boot{
+        {"node_name", name},
+        {"zone", state.domain},
+        {"listen_addrs",
+         {{"front", state.addresses.callers}, {"ready", state.addresses.ready}, {"directory", state.addresses.directory}, {"control", state.addresses.peers}}},
+        {"seeds", m_seeds},
+        {"limits", {{"memory_mb", 260}, {"max_fds", 1024}}},
+        {"bounds",
+         {{"drain_ms", 3000},
+          {"grace_s", m_options.graceSeconds},
+          {"config_apply_ms", 3000},
+          {"retry_budget_ratio", 0.2},
+          {"retry_slack", retrySlack},
+          {"retry_window_s", 10},
+          {"warmup_overrun", 1.5},
+          {"warmup_slack", 5},
+          {"ttl_max_s", 5}}},
+        {"platform", {{"address", state.storeProxy ? state.storeProxy->address() : m_store->address()}}}};
     std::ofstream(pathOf(name, ".json")) << boot.dump();
 }
 
@@ -141,6 +150,9 @@
     if (state.addresses.callers.empty()) {
         state.addresses = {freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()};
         m_seeds.push_back(state.addresses.peers);
+        if (m_options.proxies) {
+            onLoop([&] { state.storeProxy = std::make_unique<loopback_proxy>(m_loop, m_store->address()); });
+        }
     }
     state.domain = domain;
     writeBootFile(name, m_options.retrySlack);
@@ -149,6 +161,15 @@
         "snipefalld", std::vector<std::string>{"--boot", pathOf(name, ".json"), "--metrics-port", metricsPort}, pathOf(name, ".log"));
 }
 
+std::vector<std::string> site_emulator::nodeNames() const
+{
+    std::vector<std::string> names;
+    for (const auto &[name, state] : m_nodes) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 std::string site_emulator::logOf(const std::string &name) const
 {
     std::ostringstream text;
--- a/tests/stand_ins/site_emulator.h
+++ b/tests/stand_ins/site_emulator.h
@@ -14,6 +14,7 @@
 #include <boost/asio/post.hpp>
 
 #include "tests/stand_ins/child_process.h"
+#include "tests/stand_ins/loopback_proxy.h"
 #include "tests/stand_ins/site_backend.h"
 #include "tests/stand_ins/site_caller.h"
 #include "tests/stand_ins/site_store.h"
@@ -49,6 +50,7 @@
         std::chrono::milliseconds queryTarget{200};
         double graceSeconds = 3;
         unsigned retrySlack = 200;
+        bool proxies = false; ///< A proxy before each backend server, and one before the store for each node.
     };
 
     explicit site_emulator(options settings);
@@ -98,6 +100,11 @@
     const std::vector<std::string> &shards() const { return m_shards; }
     const options &settings() const { return m_options; }
     std::string addServer(const std::string &service, const std::string &domain);
+    /** The proxies before the backend servers and, by node, before the store; only with the option, and only on the event loop. */
+    std::vector<std::unique_ptr<loopback_proxy>> &serverProxies() { return m_serverProxies; }
+    loopback_proxy &storeProxy(const std::string &node) { return *m_nodes.at(node).storeProxy; }
+    std::vector<std::string> nodeNames() const;
+    boost::asio::io_context &loop() { return m_loop; }
 
     static constexpr char PLAIN_SERVICE[] = "plain";
     static constexpr char HOST[] = "site.example";
@@ -108,6 +115,7 @@
         node_addresses addresses;
         std::string domain;
         std::unique_ptr<child_process> process;
+        std::unique_ptr<loopback_proxy> storeProxy;
     };
 
     std::string pathOf(const std::string &node, const std::string &suffix) const;
@@ -120,6 +128,7 @@
     std::unique_ptr<site_store> m_store;
     std::unique_ptr<site_caller> m_caller;
     std::vector<std::unique_ptr<site_backend>> m_servers;
+    std::vector<std::unique_ptr<loopback_proxy>> m_serverProxies;
     std::vector<std::string> m_shards;
     std::map<std::string, node_state> m_nodes;
     std::vector<std::string> m_seeds;
--- a/tests/stand_ins/site_store.cpp
+++ b/tests/stand_ins/site_store.cpp
@@ -164,10 +164,8 @@
         list(kind, parameters["after"], *exchange);
         return;
     }
-    const watch waiting{kind,
-                        std::stoull(parameters["watch"]),
-                        std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoull(parameters["wait_ms"])),
-                        exchange};
+    const watch waiting{
+        kind, std::stoull(parameters["watch"]), std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoull(parameters["wait_ms"])), exchange};
     if (!answerWatch(waiting)) {
         m_watches.push_back(waiting);
     }
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -233,9 +233,8 @@
     const auto repeated = std::count_if(m_subRequests.begin(), m_subRequests.end(), [](const sub_request &item) { return item.repeated; });
     std::string ends;
     for (int kind = 0; kind <= static_cast<int>(try_outcome::timed_out); ++kind) {
-        const auto count = std::count_if(m_subRequests.begin(), m_subRequests.end(), [kind](const sub_request &item) {
-            return item.outcome && static_cast<int>(*item.outcome) == kind;
-        });
+        const auto count = std::count_if(
+            m_subRequests.begin(), m_subRequests.end(), [kind](const sub_request &item) { return item.outcome && static_cast<int>(*item.outcome) == kind; });
         if (count > 0) {
             ends += fmt::format("{}{}:{}", ends.empty() ? "" : ",", toString(static_cast<try_outcome>(kind)), count);
         }
