Find lost answers to watches through peers; give nothing to a version under move

Ruled out: a wrong revision after the list (the watch asked for the right one). Change: nodes tell each other the newest change of the store that they know; a node that is behind asks again at once, and a watch waits 10 s at most. The key of messages between nodes was made of the store's address, which is not the same for nodes behind proxies; it is now made of the failure domains' names. Moves ordered through the store are not carried out yet; their target version got its share of the traffic like any other. Now it gets nothing.

--- a/policy/request_execution.cpp
+++ b/policy/request_execution.cpp
@@ -226,14 +226,14 @@
 {
     const std::vector<backend_server_id> mayRun = serversThatMayRun(part);
     if (mayRun.size() < m_route.maxServers) {
-        const auto other = m_servers.choose(part.service, triedServers(part), backend_table::suspended_servers::avoided, m_usualLatency, now);
+        auto other = m_servers.choose(part.service, triedServers(part), backend_table::suspended_servers::avoided, m_usualLatency, now);
         if (other) {
             return other;
         }
         return m_servers.choose(part.service, {}, backend_table::suspended_servers::avoided, m_usualLatency, now);
     }
     // The request may not go to further servers, but once more to one that had it.
-    const auto server = m_servers.choose(part.service, {}, backend_table::suspended_servers::avoided, m_usualLatency, now);
+    auto server = m_servers.choose(part.service, {}, backend_table::suspended_servers::avoided, m_usualLatency, now);
     if (server && std::find(mayRun.begin(), mayRun.end(), server->id) != mayRun.end()) {
         return server;
     }
--- a/tests/http/scripted_server.cpp
+++ b/tests/http/scripted_server.cpp
@@ -14,7 +14,7 @@
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof(address));
+    static_cast<void>(::bind(m_listener, reinterpret_cast<sockaddr *>(&address), sizeof(address)));
     ::listen(m_listener, 64);
     socklen_t size = sizeof(address);
     ::getsockname(m_listener, reinterpret_cast<sockaddr *>(&address), &size);
--- a/tests/platform/test_boot_settings.cpp
+++ b/tests/platform/test_boot_settings.cpp
@@ -11,7 +11,7 @@
 json wholeFile()
 {
     return json::parse(R"({
-        "node_name": "n1", "zone": "z1", "unknown": [1],
+        "node_name": "n1", "zone": "z1", "zones": {"z1": "r"}, "unknown": [1],
         "listen_addrs": {"front": "10.1.0.9:8104", "ready": "10.1.0.9:8108", "control": "10.1.0.9:8106", "directory": "10.1.0.9:8100"},
         "seeds": ["10.1.0.9:8106", 7, "10.2.0.21:8106"],
         "limits": {"memory_mb": 260, "max_fds": 4100},
@@ -52,6 +52,7 @@
     BOOST_REQUIRE(read.hasValue());
     BOOST_TEST(read->node.str() == "n1");
     BOOST_TEST(read->domain.str() == "z1");
+    BOOST_TEST(read->deployment == R"({"z1":"r"})");
     BOOST_TEST(read->callerAddress == "10.1.0.9:8104");
     BOOST_TEST(read->peerAddress == "10.1.0.9:8106");
     BOOST_TEST(read->seedPeers.size() == 2U);
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -342,7 +342,7 @@
             std::this_thread::sleep_for(milliseconds(20));
         }
         if (!problem.empty()) {
-            broken(name + " does not serve the newest configuration after the recovery: " + problem);
+            broken(fmt::format("{} does not serve the newest configuration after the recovery: {}", name, problem));
         }
     }
     int served = 0;
--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -22,6 +22,8 @@
 const soak_case SOAK_CASES[] = {
     {1, "never failed"},
     {2, "never failed"},
+    {13, "a watch's answer was lost with its connection left open, and the node kept the old configuration for up to 25 s"},
+    {30, "as 13, at the first node"},
 };
 
 } // namespace
--- a/tests/stand_ins/site_records.cpp
+++ b/tests/stand_ins/site_records.cpp
@@ -1,5 +1,7 @@
 #include "tests/stand_ins/site_records.h"
 
+#include <fmt/format.h>
+
 #include "core/crypto.h"
 
 namespace snipefall {
@@ -8,7 +10,7 @@
 {
     std::string records;
     for (std::size_t i = 0; i < count; ++i) {
-        records += sha256Hex(service + "|" + target + "|" + std::to_string(i)).substr(0, 16);
+        records += sha256Hex(fmt::format("{}|{}|{}", service, target, i)).substr(0, 16);
     }
     return records;
 }
--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -308,6 +308,51 @@
     BOOST_TEST(site_emulator::waitFor([&] { return running.site.logOf("node-0").find("outcome=caller_left") != std::string::npos; }));
 }
 
+// Guards against a node that keeps an old configuration because the answer to its watch was lost while the connection stayed open.
+BOOST_AUTO_TEST_CASE(lostNewsIsFoundThroughPeers)
+{
+    site_emulator::options options;
+    options.proxies = true;
+    running_site running(2, options);
+    BOOST_REQUIRE(site_emulator::waitFor([&] { return running.site.directory("node-0").size() == 2; }));
+    running.site.onLoop([&] { running.site.storeProxy("node-0").setFault(loopback_proxy::fault::one_way); });
+    running.site.configure([](json &configuration) { configuration["routes"][0]["path_prefix"] = "/changed/"; });
+    BOOST_TEST(site_emulator::waitFor([&] { return running.site.query("node-1").status == 404; }));
+    running.site.onLoop([&] { running.site.storeProxy("node-0").setFault(loopback_proxy::fault::none); });
+    BOOST_TEST(site_emulator::waitFor([&] { return running.site.logOf("node-0").find("event=store.peer_ahead") != std::string::npos; }));
+    BOOST_TEST(site_emulator::waitFor([&] { return running.site.query("node-0").status == 404; }));
+}
+
+// Guards against traffic to a version that nobody watches while its move is not carried out.
+BOOST_AUTO_TEST_CASE(aVersionUnderMoveGetsNothing)
+{
+    running_site running(1);
+    running.site.onLoop([&] {
+        site_backend *server = running.site.serversOf("shard-0").front();
+        json entry = running.site.store().find("servers", server->settings().id)["spec"];
+        entry["version"] = "v2";
+        entry["seq_no"] = entry["seq_no"].get<int>() + 1;
+        running.site.store().put("servers", server->settings().id, entry);
+        running.site.store().put("rollouts", "shard-0", {{"service", "shard-0"}, {"target_version", "v2"}, {"finish_by_s", 30}});
+    });
+    const auto arrivals = [&] { return running.site.onLoop([&] { return running.site.serversOf("shard-0").front()->arrivals(); }); };
+    BOOST_TEST(site_emulator::waitFor([&] {
+        const auto before = arrivals();
+        for (int i = 0; i < 8; ++i) {
+            BOOST_TEST(running.site.query("node-0").status == 200U);
+        }
+        return arrivals() == before;
+    }));
+    running.site.onLoop([&] { running.site.store().remove("rollouts", "shard-0"); });
+    BOOST_TEST(site_emulator::waitFor([&] {
+        const auto before = arrivals();
+        for (int i = 0; i < 8; ++i) {
+            running.site.query("node-0");
+        }
+        return arrivals() > before;
+    }));
+}
+
 // Guards against settings that take effect only after a restart, and against a broken file ending the process.
 BOOST_AUTO_TEST_CASE(settingsAreReloaded)
 {
--- a/tier/object_follower.cpp
+++ b/tier/object_follower.cpp
@@ -8,8 +8,11 @@
 
 namespace {
 
-/** A waiting watch is paid for once, so it waits long; silent connections are found by keep-alive probes. */
-constexpr duration WATCH_TIME = std::chrono::seconds(25);
+/**
+ * A waiting watch is paid for once, so it waits long. Silent connections are found by keep-alive probes, and a lost answer by the revisions that peers know;
+ * the watch's end is the last resort.
+ */
+constexpr duration WATCH_TIME = std::chrono::seconds(10);
 /** Changes that come together are read by one call; far below the bounds on leaving servers and configurations. */
 constexpr duration COALESCE_TIME = std::chrono::milliseconds(250);
 constexpr duration FIRST_RETRY = std::chrono::milliseconds(100);
@@ -35,6 +38,7 @@
 void object_follower::list(read_freshness freshness)
 {
     const std::uint64_t round = ++m_round;
+    m_watching = false;
     m_store.list(m_kind, freshness, [this, round](const outcome<object_listing> &listing) {
         if (round != m_round) {
             return;
@@ -46,18 +50,30 @@
         }
         succeeded();
         m_revision = listing->storeRevision;
+        for (const stored_object &object : listing->objects) {
+            m_newestChange = std::max(m_newestChange, object.revision);
+        }
         m_handlers.onListing(*listing);
         watch();
     });
 }
 
+void object_follower::watchAgain()
+{
+    if (m_watching) {
+        watch();
+    }
+}
+
 void object_follower::watch()
 {
     const std::uint64_t round = ++m_round;
+    m_watching = true;
     m_store.watch(m_kind, m_revision, WATCH_TIME, [this, round](const outcome<object_changes> &changes) {
         if (round != m_round) {
             return;
         }
+        m_watching = false;
         if (!changes) {
             if (changes.reason().code == error_code::history_gone) {
                 logInfo("store.history_gone", {{"kind", m_kind}, {"revision", std::to_string(m_revision.value())}});
@@ -69,6 +85,9 @@
         }
         succeeded();
         m_revision = std::max(m_revision, changes->storeRevision);
+        for (const object_change &change : changes->changes) {
+            m_newestChange = std::max(m_newestChange, change.object.revision);
+        }
         if (!changes->changes.empty()) {
             m_handlers.onChanges(*changes);
             after(COALESCE_TIME, [this] { watch(); });
--- a/tier/object_follower.h
+++ b/tier/object_follower.h
@@ -26,6 +26,10 @@
     void start(read_freshness freshness) { list(freshness); }
     /** Reads the complete list again as soon as possible, for example after the process was suspended. */
     void refresh();
+    /** Asks again for the changes since the last known one, because the answer to the waiting watch may have been lost. */
+    void watchAgain();
+    /** The revision of the newest object that was seen. */
+    object_version newestChange() const { return m_newestChange; }
 
 private:
     void list(read_freshness freshness);
@@ -38,7 +42,9 @@
     std::string m_kind;
     handlers m_handlers;
     boost::asio::steady_timer m_timer;
-    object_version m_revision;
+    object_version m_revision; ///< The watch continues from here.
+    object_version m_newestChange;
+    bool m_watching = false;
     unsigned m_failures = 0;
     std::uint64_t m_round = 0; ///< Answers to calls of earlier rounds are left out.
     bool m_reachable = true;
--- a/tier/peer_link.cpp
+++ b/tier/peer_link.cpp
@@ -223,7 +223,13 @@
 
 void peer_link::takeEvents()
 {
-    for (const member_event &event : m_engine.takeEvents().members) {
+    const gossip_events events = m_engine.takeEvents();
+    for (const peer_ahead &peer : events.ahead) {
+        if (m_onPeerAhead) {
+            m_onPeerAhead(object_version(peer.version.value()));
+        }
+    }
+    for (const member_event &event : events.members) {
         logInfo("peers.member_changed",
                 {{"change", toString(event.kind)},
                  {"member", event.subject.id.str()},
--- a/tier/peer_link.h
+++ b/tier/peer_link.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -35,6 +36,11 @@
     /** Tells the others that this node is gone. */
     void leave();
 
+    /** Tells the others the newest change of the store that this node knows. */
+    void setNewestChange(object_version revision) { m_engine.setConfigVersion(config_version(revision.value())); }
+    /** Called when a peer knows a newer change. */
+    void onPeerAhead(std::function<void(object_version)> handler) { m_onPeerAhead = std::move(handler); }
+
     /** Nodes besides this one that take callers and answer probes. */
     std::vector<entry_candidate> entries() const;
     /** Nodes that did not answer a probe or were lost a short time ago: they may live behind a cut that this node can't look through. */
@@ -62,6 +68,7 @@
     replay_guard m_guard;
     gossip_engine m_engine;
     std::map<node_id, time_point> m_lastLive;
+    std::function<void(object_version)> m_onPeerAhead;
     std::array<char, envelope_codec::MAX_DATAGRAM_BYTES + 1> m_buffer{};
     boost::asio::ip::udp::endpoint m_sender;
 };
--- a/tier/site_controller.cpp
+++ b/tier/site_controller.cpp
@@ -1,5 +1,7 @@
 #include "tier/site_controller.h"
 
+#include <algorithm>
+
 #include "core/logger.h"
 #include "platform/site_decoder.h"
 #include "platform/wire_names.h"
@@ -9,6 +11,9 @@
 
 namespace {
 
+/** A peer is ahead for the time that the store's news takes to this node; only what lasts longer was lost. */
+constexpr duration ASK_AGAIN_INTERVAL = std::chrono::seconds(1);
+
 time_point now()
 {
     return system_clock().now();
@@ -74,6 +79,23 @@
                      publishExcludedDomains();
                  },
                  [](bool) {}})
+    , m_moves(loop,
+              store,
+              wire::MOVES_KIND,
+              {[this](const object_listing &listing) {
+                   m_movesInProgress.clear();
+                   for (const stored_object &object : listing.objects) {
+                       applyMove(object, false);
+                   }
+                   m_board.servers.setVersionShares(m_movesInProgress);
+               },
+               [this](const object_changes &changes) {
+                   for (const object_change &change : changes.changes) {
+                       applyMove(change.object, change.deleted);
+                   }
+                   m_board.servers.setVersionShares(m_movesInProgress);
+               },
+               [](bool) {}})
 {
     setBounds(settings);
 }
@@ -84,6 +106,7 @@
     m_configuration.start(freshness);
     m_backends.start(freshness);
     m_domains.start(freshness);
+    m_moves.start(freshness);
 }
 
 void site_controller::refresh()
@@ -91,6 +114,24 @@
     m_configuration.refresh();
     m_backends.refresh();
     m_domains.refresh();
+    m_moves.refresh();
+}
+
+object_version site_controller::newestChange() const
+{
+    return std::max({m_configuration.newestChange(), m_backends.newestChange(), m_domains.newestChange(), m_moves.newestChange()});
+}
+
+void site_controller::peerKnows(object_version newest)
+{
+    if (newest <= newestChange() || now() - m_askedAgain < ASK_AGAIN_INTERVAL) {
+        return;
+    }
+    m_askedAgain = now();
+    logInfo("store.peer_ahead", {{"peer_revision", std::to_string(newest.value())}, {"own_revision", std::to_string(newestChange().value())}});
+    for (object_follower *follower : {&m_configuration, &m_backends, &m_domains, &m_moves}) {
+        follower->watchAgain();
+    }
 }
 
 void site_controller::setBounds(const boot_settings &settings)
@@ -194,6 +235,26 @@
     }
 }
 
+void site_controller::applyMove(const stored_object &object, bool deleted)
+{
+    const outcome<version_move> move = decodeMove(object);
+    if (!move) {
+        logWarning("move.unreadable", {{"revision", std::to_string(object.revision.value())}, {"reason", move.reason().message}});
+        return;
+    }
+    if (deleted || move->ended) {
+        m_movesInProgress.erase(move->service);
+    } else {
+        // Moves are not carried out on the platform yet; until then a version that may be bad gets nothing.
+        m_movesInProgress[move->service] = version_share{move->target, 0.0};
+    }
+    logInfo("move.seen",
+            {{"service", move->service.str()},
+             {"target", move->target.str()},
+             {"in_progress", m_movesInProgress.contains(move->service) ? "yes" : "no"},
+             {"revision", std::to_string(object.revision.value())}});
+}
+
 void site_controller::publishExcludedDomains()
 {
     if (m_excludedDomains == m_board.servers.excludedDomains()) {
--- a/tier/site_controller.h
+++ b/tier/site_controller.h
@@ -6,6 +6,7 @@
 #include <set>
 
 #include "platform/boot_settings.h"
+#include "policy/version_share.h"
 #include "tier/object_follower.h"
 
 namespace snipefall {
@@ -25,6 +26,10 @@
     void setBounds(const boot_settings &settings);
     /** Reads everything anew, because what is known may be older than it seems. */
     void refresh();
+    /** The revision of the newest change in the store that this node knows. */
+    object_version newestChange() const;
+    /** A peer knows the change @p newest; asks the store for what this node may have missed. */
+    void peerKnows(object_version newest);
     /** Drops backend servers whose time to be listed again is over. */
     void expire();
     /** Called with each configuration that comes into force. */
@@ -35,6 +40,7 @@
     void applyBackend(const stored_object &object);
     void applyBackends(const object_listing &listing);
     void applyExcludedDomain(const std::string &name, bool excluded);
+    void applyMove(const stored_object &object, bool deleted);
     void publishExcludedDomains();
     void publishServiceRules();
 
@@ -42,7 +48,10 @@
     object_follower m_configuration;
     object_follower m_backends;
     object_follower m_domains;
+    object_follower m_moves;
     std::set<failure_domain_id> m_excludedDomains;
+    std::map<service_id, version_share> m_movesInProgress;
+    time_point m_askedAgain{};
     double m_warmUpOverrun = 1;
     double m_warmUpSlack = 0;
     std::function<void(const site_configuration &)> m_onConfiguration;
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -68,7 +68,7 @@
     , m_directoryServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { answerDirectory(*exchange); })
     , m_metricsServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { answerMetrics(*exchange); })
     , m_self(ownRecord(m_boot))
-    , m_peers(m_loop, m_self, m_boot.processorCores, m_boot.storeAddress, m_seed + 2)
+    , m_peers(m_loop, m_self, m_boot.processorCores, m_boot.deployment, m_seed + 2)
     , m_register(m_loop,
                  m_store,
                  m_self,
@@ -93,6 +93,7 @@
              {"store", m_boot.storeAddress},
              {"incarnation", std::to_string(m_self.started.value())}});
     m_site.onConfiguration([this](const site_configuration &configuration) { applyConfiguration(configuration); });
+    m_peers.onPeerAhead([this](object_version newest) { m_site.peerKnows(newest); });
     applyBoot();
     m_site.start(m_boot.firstStart);
     waitForSignals();
@@ -253,6 +254,7 @@
         m_site.refresh();
     }
     m_site.expire();
+    m_peers.setNewestChange(m_site.newestChange());
     reloadIfChanged();
     applyBoot();
     joinPeersIfReady();
