--- a/node/account_keeper.h
+++ b/node/account_keeper.h
@@ -7,8 +7,8 @@
 #include <vector>
 
 #include "core/outcome.h"
-#include "store/object.h"
 #include "policy/node_account.h"
+#include "store/object.h"
 
 namespace snipefall {
 
--- a/node/closing_controller.h
+++ b/node/closing_controller.h
@@ -7,9 +7,9 @@
 #include "core/configuration_patch.h"
 #include "core/ids.h"
 #include "core/json.h"
+#include "policy/closing_record.h"
 #include "store/commit_result.h"
 #include "store/object.h"
-#include "policy/closing_record.h"
 
 namespace snipefall {
 
--- a/node/execute_service.h
+++ b/node/execute_service.h
@@ -11,9 +11,9 @@
 #include "core/outcome.h"
 #include "http/http_request.h"
 #include "http/http_response.h"
-#include "store/claim_result.h"
 #include "policy/answer_record.h"
 #include "policy/request_fingerprint.h"
+#include "store/claim_result.h"
 
 namespace snipefall {
 
--- a/node/move_manager.h
+++ b/node/move_manager.h
@@ -12,7 +12,6 @@
 #include "core/ids.h"
 #include "core/json.h"
 #include "core/outcome.h"
-#include "store/object.h"
 #include "policy/fact.h"
 #include "policy/fault_detector.h"
 #include "policy/move_decision.h"
@@ -20,6 +19,7 @@
 #include "policy/move_record.h"
 #include "policy/version_router.h"
 #include "policy/warm_up_state.h"
+#include "store/object.h"
 
 namespace snipefall {
 
--- a/node/node_metrics.h
+++ b/node/node_metrics.h
@@ -3,9 +3,9 @@
 #include <memory>
 #include <string>
 
+#include "policy/answer_record.h"
 #include "store/call_counts.h"
 #include "store/call_purpose.h"
-#include "policy/answer_record.h"
 
 namespace prometheus {
 class Registry;
--- a/node/permit_controller.h
+++ b/node/permit_controller.h
@@ -12,11 +12,11 @@
 #include "core/clock.h"
 #include "core/ids.h"
 #include "core/outcome.h"
-#include "store/object.h"
 #include "policy/hop_router.h"
 #include "policy/permit_action.h"
 #include "policy/permit_share.h"
 #include "policy/placement_member.h"
+#include "store/object.h"
 
 namespace snipefall {
 
--- a/store/audit_log.h
+++ b/store/audit_log.h
@@ -8,8 +8,8 @@
 #include <fmt/format.h>
 
 #include "core/configuration_patch.h"
-#include "store/object_store.h"
 #include "policy/audit_chain.h"
+#include "store/object_store.h"
 
 namespace snipefall {
 
--- a/store/claim_log.h
+++ b/store/claim_log.h
@@ -13,10 +13,10 @@
 #include <fmt/format.h>
 
 #include "core/crypto.h"
+#include "policy/uuid_v7.h"
 #include "store/claim_draft.h"
 #include "store/claim_memory.h"
 #include "store/object_store.h"
-#include "policy/uuid_v7.h"
 
 namespace snipefall {
 
--- a/tests/policy/test_move_races.cpp
+++ b/tests/policy/test_move_races.cpp
@@ -8,9 +8,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include "core/crypto.h"
-#include "store/memory_object_store.h"
 #include "policy/move_controller.h"
 #include "policy/version_router.h"
+#include "store/memory_object_store.h"
 #include "tests/policy/move_samples.h"
 
 using namespace snipefall;
