--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -6,5 +6,5 @@
 mapfile -t sources < <(git ls-files -co --exclude-standard '*.h' '*.cpp' | grep -v '^peer/generated/')
 clang-format --dry-run --Werror "${sources[@]}"
 mapfile -t units < <(printf '%s\n' "${sources[@]}" | grep '\.cpp$')
-printf '%s\0' "${units[@]}" | xargs -0 -n 2 -P "$(nproc)" clang-tidy --quiet -p "$build_dir" 2>/dev/null
+printf '%s\0' "${units[@]}" | xargs -0 -n 1 -P "$(nproc)" python3 scripts/lint_unit.py "$build_dir"
 echo "format and lint: clean"
