--- a/http/async_http_client.cpp
+++ b/http/async_http_client.cpp
@@ -127,12 +127,6 @@
     return found == m_pools.end() ? 0 : found->second.inUse + found->second.idle.size();
 }
 
-std::size_t async_http_client::idleConnectionsTo(const std::string &address) const
-{
-    const auto found = m_pools.find(address);
-    return found == m_pools.end() ? 0 : found->second.idle.size();
-}
-
 void async_http_client::closeIdle(const std::string &address)
 {
     const auto found = m_pools.find(address);
--- a/http/async_http_client.h
+++ b/http/async_http_client.h
@@ -41,7 +41,6 @@
 
     /** Connections to an address, idle or in use. */
     std::size_t connectionsTo(const std::string &address) const;
-    std::size_t idleConnectionsTo(const std::string &address) const;
     /** Closes the idle connections to an address; for servers that are gone or whose connections may have gone silent. */
     void closeIdle(const std::string &address);
     std::uint64_t connectionsOpened() const { return m_opened; }
--- a/http/async_http_server.cpp
+++ b/http/async_http_server.cpp
@@ -92,12 +92,6 @@
     return static_cast<std::size_t>(std::count_if(m_connections.begin(), m_connections.end(), [](const auto &item) { return item->isOpen(); }));
 }
 
-std::size_t async_http_server::busyConnections() const
-{
-    return static_cast<std::size_t>(
-        std::count_if(m_connections.begin(), m_connections.end(), [](const auto &item) { return item->isOpen() && item->isBusy(); }));
-}
-
 void async_http_server::accept()
 {
     m_acceptor.async_accept([this](const boost::system::error_code &error, boost::asio::ip::tcp::socket socket) {
--- a/http/async_http_server.h
+++ b/http/async_http_server.h
@@ -35,8 +35,6 @@
     void closeIdle();
 
     std::size_t openConnections() const;
-    /** Connections whose request is being handled or whose response is being written. */
-    std::size_t busyConnections() const;
     /** The port that was bound. */
     unsigned short port() const;
 
