Ask the store again only for news that is missing for 1.2 s

Cause: each change made a node look behind its peers for the time that the news takes (about 0.3 s), and it then repeated all four watches. Change: a node asks again when it has been behind for 1.2 s.

--- a/tier/site_controller.cpp
+++ b/tier/site_controller.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-/** A peer is ahead for the time that the store's news takes to this node; only what lasts longer was lost. */
-constexpr duration ASK_AGAIN_INTERVAL = std::chrono::seconds(1);
+/** A peer is ahead for the time that the store's news takes to this node, some 0.3 s; what lasts this long was lost. */
+constexpr duration BEHIND_TIME = std::chrono::milliseconds(1200);
 
 time_point now()
 {
@@ -124,11 +124,26 @@
 
 void site_controller::peerKnows(object_version newest)
 {
-    if (newest <= newestChange() || now() - m_askedAgain < ASK_AGAIN_INTERVAL) {
+    m_peersNewest = std::max(m_peersNewest, newest);
+    if (newest > newestChange() && !m_behindSince) {
+        m_behindSince = now();
+    }
+}
+
+void site_controller::askAgainIfBehind()
+{
+    if (!m_behindSince) {
+        return;
+    }
+    if (m_peersNewest <= newestChange()) {
+        m_behindSince.reset();
+        return;
+    }
+    if (now() - *m_behindSince < BEHIND_TIME) {
         return;
     }
-    m_askedAgain = now();
-    logInfo("store.peer_ahead", {{"peer_revision", std::to_string(newest.value())}, {"own_revision", std::to_string(newestChange().value())}});
+    m_behindSince = now();
+    logInfo("store.peer_ahead", {{"peer_revision", std::to_string(m_peersNewest.value())}, {"own_revision", std::to_string(newestChange().value())}});
     for (object_follower *follower : {&m_configuration, &m_backends, &m_domains, &m_moves}) {
         follower->watchAgain();
     }
@@ -141,8 +156,9 @@
     publishServiceRules();
 }
 
-void site_controller::expire()
+void site_controller::runDue()
 {
+    askAgainIfBehind();
     for (const backend_server_id &id : m_board.servers.expire(now())) {
         logInfo("backend.expired", {{"server", id.str()}, {"reason", "not_listed_again_after_store_outage"}});
     }
--- a/tier/site_controller.h
+++ b/tier/site_controller.h
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 #include "platform/boot_settings.h"
@@ -28,14 +29,15 @@
     void refresh();
     /** The revision of the newest change in the store that this node knows. */
     object_version newestChange() const;
-    /** A peer knows the change @p newest; asks the store for what this node may have missed. */
+    /** A peer knows the change @p newest. */
     void peerKnows(object_version newest);
-    /** Drops backend servers whose time to be listed again is over. */
-    void expire();
+    /** Drops backend servers whose time to be listed again is over, and asks the store for news that peers have and this node still lacks. */
+    void runDue();
     /** Called with each configuration that comes into force. */
     void onConfiguration(std::function<void(const site_configuration &)> handler) { m_onConfiguration = std::move(handler); }
 
 private:
+    void askAgainIfBehind();
     void applyConfiguration(const stored_object &object);
     void applyBackend(const stored_object &object);
     void applyBackends(const object_listing &listing);
@@ -51,7 +53,8 @@
     object_follower m_moves;
     std::set<failure_domain_id> m_excludedDomains;
     std::map<service_id, version_share> m_movesInProgress;
-    time_point m_askedAgain{};
+    object_version m_peersNewest; ///< The newest change that a peer knows.
+    std::optional<time_point> m_behindSince; ///< Since when a peer has known more than this node.
     double m_warmUpOverrun = 1;
     double m_warmUpSlack = 0;
     std::function<void(const site_configuration &)> m_onConfiguration;
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -253,7 +253,7 @@
         logWarning("node.was_suspended", {{"ms", std::to_string(suspended->count() / 1000)}});
         m_site.refresh();
     }
-    m_site.expire();
+    m_site.runDue();
     m_peers.setNewestChange(m_site.newestChange());
     reloadIfChanged();
     applyBoot();
