--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -207,10 +207,10 @@
     ++chosen.warmUpRequests;
 }
 
-bool backend_table::versionAllows(const server &candidate, bool newVersion) const
+bool backend_table::versionAllows(const server &candidate) const
 {
-    const auto share = m_versionShares.find(candidate.entry.service);
-    return share == m_versionShares.end() || (candidate.entry.version == share->second.target) == newVersion;
+    const auto heldBack = m_heldBackVersions.find(candidate.entry.service);
+    return heldBack == m_heldBackVersions.end() || candidate.entry.version != heldBack->second;
 }
 
 std::optional<backend_choice> backend_table::choose(
@@ -221,14 +221,12 @@
         return std::nullopt;
     }
     std::uniform_real_distribution<double> unit(0.0, 1.0);
-    const auto moved = m_versionShares.find(service);
-    const bool newVersion = moved != m_versionShares.end() && unit(m_random) < moved->second.share;
     const std::size_t connections = connectionShare(service);
     server *best = nullptr;
     server *bestSuspended = nullptr;
     double bestCost = 0;
     for (server *candidate : found->second) {
-        if (!usable(*candidate) || !versionAllows(*candidate, newVersion) || !warmUpAllows(*candidate, now)) {
+        if (!usable(*candidate) || !versionAllows(*candidate) || !warmUpAllows(*candidate, now)) {
             continue;
         }
         if (std::find(excluded.begin(), excluded.end(), candidate->entry.id) != excluded.end()) {
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -14,7 +14,6 @@
 #include "policy/backend_entry.h"
 #include "policy/backend_health.h"
 #include "policy/service_rules.h"
-#include "policy/version_share.h"
 
 namespace snipefall {
 
@@ -55,7 +54,8 @@
     void setServiceRules(const std::map<service_id, service_rules> &rules, double warmUpOverrun, double warmUpSlack);
     /** Nodes that may send to the servers; connections and warm-up requests are shared among them. */
     void setNodeCount(std::size_t nodes) { m_nodes = nodes == 0 ? 1 : nodes; }
-    void setVersionShares(std::map<service_id, version_share> shares) { m_versionShares = std::move(shares); }
+    /** Versions that get no requests, by service. */
+    void setHeldBackVersions(std::map<service_id, version_id> versions) { m_heldBackVersions = std::move(versions); }
 
     /**
      * The server of @p service from which an answer is to be expected soonest, without those in @p excluded; nothing if there is none.
@@ -99,7 +99,7 @@
 
     bool usable(const server &candidate) const;
     bool warmUpAllows(const server &candidate, time_point now) const;
-    bool versionAllows(const server &candidate, bool newVersion) const;
+    bool versionAllows(const server &candidate) const;
     void countWarmUp(server &chosen, time_point now);
     void erase(const backend_server_id &id, time_point now);
     bool staleReport(const backend_entry &entry) const;
@@ -112,7 +112,7 @@
     std::map<backend_server_id, departed> m_departed;
     std::set<failure_domain_id> m_excludedDomains;
     std::map<service_id, service_rules> m_rules;
-    std::map<service_id, version_share> m_versionShares;
+    std::map<service_id, version_id> m_heldBackVersions;
     double m_warmUpOverrun = 1.0;
     double m_warmUpSlack = 0.0;
     std::size_t m_nodes = 1;
--- a/tier/peer_link.cpp
+++ b/tier/peer_link.cpp
@@ -10,6 +10,7 @@
 #include "http/endpoint_text.h"
 #include "peer/generated/peer_messages_types.h"
 #include "peer/gossip_codec.h"
+#include "tier/loop_clock.h"
 
 namespace snipefall {
 
@@ -33,11 +34,6 @@
     return {self.id, self.started, {peer_key{"cluster", sha256Hex(clusterName)}}, MAX_CLOCK_SKEW_MS};
 }
 
-time_point now()
-{
-    return system_clock().now();
-}
-
 } // namespace
 
 peer_link::peer_link(boost::asio::io_context &loop, member self, double cores, const std::string &clusterName, std::uint64_t seed)
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -8,6 +8,7 @@
 #include "platform/caller_messages.h"
 #include "platform/sub_answer_reader.h"
 #include "policy/record_merge.h"
+#include "tier/loop_clock.h"
 #include "tier/tier_blackboard.h"
 #include "tier/tier_metrics.h"
 
@@ -23,11 +24,6 @@
 /** Backend servers have to be rid of the requests of a caller that left within half a second. */
 constexpr duration CALLER_LEFT_TIME = std::chrono::milliseconds(200);
 
-time_point now()
-{
-    return system_clock().now();
-}
-
 double milliseconds(duration value)
 {
     return std::chrono::duration<double, std::milli>(value).count();
--- a/tier/site_controller.cpp
+++ b/tier/site_controller.cpp
@@ -5,6 +5,7 @@
 #include "core/logger.h"
 #include "platform/site_decoder.h"
 #include "platform/wire_names.h"
+#include "tier/loop_clock.h"
 #include "tier/tier_blackboard.h"
 
 namespace snipefall {
@@ -14,11 +15,6 @@
 /** A peer is ahead for the time that the store's news takes to this node, some 0.3 s; what lasts this long was lost. */
 constexpr duration BEHIND_TIME = std::chrono::milliseconds(1200);
 
-time_point now()
-{
-    return system_clock().now();
-}
-
 } // namespace
 
 site_controller::site_controller(boost::asio::io_context &loop, store_client &store, tier_blackboard &board, const boot_settings &settings)
@@ -87,13 +83,13 @@
                    for (const stored_object &object : listing.objects) {
                        applyMove(object, false);
                    }
-                   m_board.servers.setVersionShares(m_movesInProgress);
+                   m_board.servers.setHeldBackVersions(m_movesInProgress);
                },
                [this](const object_changes &changes) {
                    for (const object_change &change : changes.changes) {
                        applyMove(change.object, change.deleted);
                    }
-                   m_board.servers.setVersionShares(m_movesInProgress);
+                   m_board.servers.setHeldBackVersions(m_movesInProgress);
                },
                [](bool) {}})
 {
@@ -262,7 +258,7 @@
         m_movesInProgress.erase(move->service);
     } else {
         // Moves are not carried out on the platform yet; until then a version that may be bad gets nothing.
-        m_movesInProgress[move->service] = version_share{move->target, 0.0};
+        m_movesInProgress[move->service] = move->target;
     }
     logInfo("move.seen",
             {{"service", move->service.str()},
--- a/tier/site_controller.h
+++ b/tier/site_controller.h
@@ -7,7 +7,6 @@
 #include <set>
 
 #include "platform/boot_settings.h"
-#include "policy/version_share.h"
 #include "tier/object_follower.h"
 
 namespace snipefall {
@@ -52,7 +51,7 @@
     object_follower m_domains;
     object_follower m_moves;
     std::set<failure_domain_id> m_excludedDomains;
-    std::map<service_id, version_share> m_movesInProgress;
+    std::map<service_id, version_id> m_movesInProgress; ///< The target version by service.
     object_version m_peersNewest; ///< The newest change that a peer knows.
     std::optional<time_point> m_behindSince; ///< Since when a peer has known more than this node.
     double m_warmUpOverrun = 1;
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -6,6 +6,7 @@
 #include "core/logger.h"
 #include "platform/caller_messages.h"
 #include "platform/directory_messages.h"
+#include "tier/loop_clock.h"
 
 namespace snipefall {
 
@@ -77,7 +78,7 @@
                      m_peers.setHints(std::move(addresses));
                  })
     , m_bootWritten(writtenAt(m_settings.bootFile))
-    , m_startedAt(system_clock().now())
+    , m_startedAt(now())
 {
 }
 
@@ -137,7 +138,7 @@
         return;
     }
     std::vector<entry_candidate> candidates = m_peers.entries();
-    const bool useful = m_board.servers.unreachableShare(system_clock().now()) < MAX_UNREACHABLE_SHARE;
+    const bool useful = m_board.servers.unreachableShare(now()) < MAX_UNREACHABLE_SHARE;
     if (m_board.ready() && useful) {
         candidates.push_back({m_boot.callerAddress, m_boot.domain, m_boot.processorCores});
     }
@@ -187,7 +188,12 @@
 void tier_process::applyBoot()
 {
     m_site.setBounds(m_boot);
-    const bool joining = system_clock().now() - m_startedAt < JOIN_TIME;
+    shareLimits();
+}
+
+void tier_process::shareLimits()
+{
+    const bool joining = now() - m_startedAt < JOIN_TIME;
     const std::size_t nodes = std::max(m_peers.nodeCount(), joining ? m_registeredNodes : 0);
     m_board.servers.setNodeCount(nodes);
     m_board.budget.setLimits({m_boot.retryRatio, m_boot.retrySlack, m_boot.retryWindow}, nodes);
@@ -224,11 +230,11 @@
 
 void tier_process::reloadIfChanged()
 {
-    const time_point now = system_clock().now();
-    if (now - m_bootCheckedAt < BOOT_CHECK_INTERVAL) {
+    const time_point at = now();
+    if (at - m_bootCheckedAt < BOOT_CHECK_INTERVAL) {
         return;
     }
-    m_bootCheckedAt = now;
+    m_bootCheckedAt = at;
     if (writtenAt(m_settings.bootFile) != m_bootWritten) {
         reload("changed");
     }
@@ -256,7 +262,7 @@
     m_site.runDue();
     m_peers.setNewestChange(m_site.newestChange());
     reloadIfChanged();
-    applyBoot();
+    shareLimits();
     joinPeersIfReady();
     after(m_housekeepingTimer, HOUSEKEEPING_INTERVAL, &tier_process::housekeeping);
 }
--- a/tier/tier_process.h
+++ b/tier/tier_process.h
@@ -40,6 +40,8 @@
     void answerMetrics(http_exchange &exchange);
     void applyConfiguration(const site_configuration &configuration);
     void applyBoot();
+    /** Divides the limits that all nodes keep together by the number of nodes. */
+    void shareLimits();
     void joinPeersIfReady();
     void waitForSignals();
     void reload(std::string_view cause);
