Let one of four followers look for a store that is away

Ruled out: the watches themselves cost a tenth and wait 10 s. Change: the first follower whose call fails looks for the store; the others wait for its answer and then list, or try by themselves after 5 s. The new test counts the lists of four followers of a store that refuses.

--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -5,6 +5,8 @@
 #include <boost/test/unit_test.hpp>
 
 #include "tests/stand_ins/site_emulator.h"
+#include "tier/object_follower.h"
+#include "tier/store_search.h"
 
 using namespace snipefall;
 using std::chrono::milliseconds;
@@ -353,6 +355,49 @@
     }));
 }
 
+// Guards against calls to a store that is away from each of the followers, which are paid for and bring nothing.
+BOOST_AUTO_TEST_CASE(oneFollowerLooksForAStoreThatIsAway)
+{
+    boost::asio::io_context loop;
+    site_store store(loop);
+    store.put("a", "object", {{"value", 1}});
+    store_client client(loop, store.address());
+    store_search search;
+    std::map<std::string, int> listings;
+    std::map<std::string, int> losses;
+    std::vector<std::unique_ptr<object_follower>> followers;
+    for (const char *kind : {"a", "b", "c", "d"}) {
+        followers.push_back(
+            std::make_unique<object_follower>(loop,
+                                              client,
+                                              search,
+                                              kind,
+                                              object_follower::handlers{[&listings, kind](const object_listing &) { ++listings[kind]; },
+                                                                        [](const object_changes &) {},
+                                                                        [&losses, kind](bool reachable) { losses[kind] += reachable ? 0 : 1; }}));
+        followers.back()->start(read_freshness::newest);
+    }
+    const auto runUntil = [&](const std::function<bool()> &condition) {
+        while (!condition()) {
+            loop.run_one();
+        }
+    };
+    runUntil([&] { return listings.size() == 4; });
+    store.setCondition(site_store::condition::refusing);
+    store.forgetHistory();
+    runUntil([&] { return losses.size() == 4; });
+    const std::uint64_t before = client.calls();
+    runUntil([&] { return client.calls() >= before + 4; });
+    // All of these calls were made by one follower, which has waited longer and longer; four would have made them in a few ms.
+    for (const auto &[kind, count] : listings) {
+        BOOST_TEST(count == 1);
+    }
+    BOOST_TEST(search.waiting() == 3U);
+    store.setCondition(site_store::condition::sound);
+    runUntil([&] { return std::all_of(listings.begin(), listings.end(), [](const auto &item) { return item.second >= 2; }); });
+    BOOST_TEST(search.waiting() == 0U);
+}
+
 // Guards against settings that take effect only after a restart, and against a broken file ending the process.
 BOOST_AUTO_TEST_CASE(settingsAreReloaded)
 {
--- a/tier/object_follower.cpp
+++ b/tier/object_follower.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/logger.h"
+#include "tier/store_search.h"
 
 namespace snipefall {
 
@@ -18,11 +19,14 @@
 constexpr duration FIRST_RETRY = std::chrono::milliseconds(100);
 /** Bounds the time until a store that is back is noticed, well below the bounds on applying what it holds. */
 constexpr duration LONGEST_RETRY = std::chrono::milliseconds(800);
+/** A follower that leaves the search for the store to another one tries by itself after this time, in case only the other's calls fail. */
+constexpr duration LONGEST_WAIT = std::chrono::seconds(5);
 
 } // namespace
 
-object_follower::object_follower(boost::asio::io_context &loop, store_client &store, std::string kind, handlers callbacks)
+object_follower::object_follower(boost::asio::io_context &loop, store_client &store, store_search &search, std::string kind, handlers callbacks)
     : m_store(store)
+    , m_search(search)
     , m_kind(std::move(kind))
     , m_handlers(std::move(callbacks))
     , m_timer(loop)
@@ -45,7 +49,7 @@
         }
         if (!listing) {
             failed(listing.reason());
-            after(std::min(FIRST_RETRY * (1U << std::min(m_failures, 4U)) / 2, LONGEST_RETRY), [this] { list(read_freshness::newest); });
+            listAgain();
             return;
         }
         succeeded();
@@ -58,6 +62,12 @@
     });
 }
 
+void object_follower::listAgain()
+{
+    const duration pause = m_search.mayTryAgain(*this) ? std::min(FIRST_RETRY * (1U << std::min(m_failures, 4U)) / 2, LONGEST_RETRY) : LONGEST_WAIT;
+    after(pause, [this] { list(read_freshness::newest); });
+}
+
 void object_follower::watchAgain()
 {
     if (m_watching) {
@@ -79,6 +89,10 @@
                 logInfo("store.history_gone", {{"kind", m_kind}, {"revision", std::to_string(m_revision.value())}});
             } else {
                 failed(changes.reason());
+                if (!m_search.mayTryAgain(*this)) {
+                    after(LONGEST_WAIT, [this] { list(read_freshness::newest); });
+                    return;
+                }
             }
             list(read_freshness::newest);
             return;
@@ -116,6 +130,7 @@
         m_handlers.onReachable(true);
     }
     m_failures = 0;
+    m_search.found(*this);
 }
 
 void object_follower::after(duration pause, std::function<void()> action)
--- a/tier/object_follower.h
+++ b/tier/object_follower.h
@@ -9,6 +9,8 @@
 
 namespace snipefall {
 
+class store_search;
+
 /** Follows all objects of one kind in the platform's store: a complete list, then the changes. */
 class object_follower
 {
@@ -20,7 +22,8 @@
         std::function<void(bool reachable)> onReachable; ///< Called when the store is lost and when it answers again.
     };
 
-    object_follower(boost::asio::io_context &loop, store_client &store, std::string kind, handlers callbacks);
+    /** Followers with the same @p search take turns at looking for a store that is away. */
+    object_follower(boost::asio::io_context &loop, store_client &store, store_search &search, std::string kind, handlers callbacks);
 
     /** @p freshness holds for the first list; the watch brings what it lacks. */
     void start(read_freshness freshness) { list(freshness); }
@@ -34,11 +37,13 @@
 private:
     void list(read_freshness freshness);
     void watch();
+    void listAgain();
     void failed(const failure &reason);
     void succeeded();
     void after(duration pause, std::function<void()> action);
 
     store_client &m_store;
+    store_search &m_search;
     std::string m_kind;
     handlers m_handlers;
     boost::asio::steady_timer m_timer;
--- a/tier/site_controller.cpp
+++ b/tier/site_controller.cpp
@@ -21,6 +21,7 @@
     : m_board(board)
     , m_configuration(loop,
                       store,
+                      m_search,
                       wire::CONFIGURATION_KIND,
                       {[this](const object_listing &listing) {
                            for (const stored_object &object : listing.objects) {
@@ -37,6 +38,7 @@
                        [](bool) {}})
     , m_backends(loop,
                  store,
+                 m_search,
                  wire::BACKENDS_KIND,
                  {[this](const object_listing &listing) { applyBackends(listing); },
                   [this](const object_changes &changes) {
@@ -58,6 +60,7 @@
                   }})
     , m_domains(loop,
                 store,
+                m_search,
                 wire::EXCLUDED_DOMAINS_KIND,
                 {[this](const object_listing &listing) {
                      m_excludedDomains.clear();
@@ -77,6 +80,7 @@
                  [](bool) {}})
     , m_moves(loop,
               store,
+              m_search,
               wire::MOVES_KIND,
               {[this](const object_listing &listing) {
                    m_movesInProgress.clear();
--- a/tier/site_controller.h
+++ b/tier/site_controller.h
@@ -8,6 +8,7 @@
 
 #include "platform/boot_settings.h"
 #include "tier/object_follower.h"
+#include "tier/store_search.h"
 
 namespace snipefall {
 
@@ -46,6 +47,7 @@
     void publishServiceRules();
 
     tier_blackboard &m_board;
+    store_search m_search;
     object_follower m_configuration;
     object_follower m_backends;
     object_follower m_domains;
