Refuse requests that crash backend servers

Cause: on the platform nothing stopped a request that crashes each server that runs it; a query even went to the servers of all shards twice, one repeat after another. Change: a request without an answer whose sub-requests were lost is suspected if a health check finds one of the servers gone; two such requests with the same caller and content, on any nodes, and it is refused with 503 by all nodes. Suspicions travel as facts between nodes in the form that the own interface uses; its encoding is shared. A success on any node clears a suspicion. A query of which nothing was answered is repeated on one server at a time, and no more once a repeat is lost.

--- a/bench/data_path/node_data_path.cpp
+++ b/bench/data_path/node_data_path.cpp
@@ -117,7 +117,7 @@
     task.options.deadline = std::chrono::seconds(10);
     // No hedges: the cost of one sub-request is asked for.
     task.options.hedges.delay = std::chrono::seconds(10);
-    task.fingerprint = fingerprintOf(SERVICE, task.route, task.query);
+    task.fingerprint = fingerprintOf({SERVICE.str(), task.route, task.query});
     task.newerSnapshotExists = [](const snapshot_id &) { return false; };
     const std::size_t width = m_parts->servers.size();
     const auto runner = std::make_shared<query_runner>(std::move(task), m_parts->runtime, m_parts->environment);
--- a/http/http_exchange.cpp
+++ b/http/http_exchange.cpp
@@ -4,10 +4,14 @@
 
 namespace snipefall {
 
-http_exchange::http_exchange(std::weak_ptr<server_connection> connection, http_request_message request, std::chrono::steady_clock::time_point received)
+http_exchange::http_exchange(std::weak_ptr<server_connection> connection,
+                             http_request_message request,
+                             std::chrono::steady_clock::time_point received,
+                             std::string client)
     : m_connection(std::move(connection))
     , m_request(std::move(request))
     , m_received(received)
+    , m_client(std::move(client))
 {
 }
 
--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -22,6 +22,9 @@
     , m_handler(std::move(handleRequest))
     , m_lastProgress(std::chrono::steady_clock::now())
 {
+    boost::system::error_code error;
+    const auto client = m_socket.remote_endpoint(error);
+    m_client = error ? std::string() : client.address().to_string();
 }
 
 void server_connection::start()
@@ -120,7 +123,7 @@
     m_state = state::handling;
     m_headRequest = request.method() == beast::http::verb::head;
     m_closing = m_closing || !request.keep_alive();
-    m_exchange = std::make_shared<http_exchange>(weak_from_this(), std::move(request), std::chrono::steady_clock::now());
+    m_exchange = std::make_shared<http_exchange>(weak_from_this(), std::move(request), std::chrono::steady_clock::now(), m_client);
     m_handler(m_exchange);
 }
 
--- a/http/server_connection.h
+++ b/http/server_connection.h
@@ -62,6 +62,7 @@
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
     std::shared_ptr<http_exchange> m_exchange;
+    std::string m_client; ///< Its IP address.
     http_response_message m_response;
     std::optional<boost::beast::http::response_serializer<boost::beast::http::string_body>> m_serializer;
     state m_state = state::reading;
--- a/node/execute_service.cpp
+++ b/node/execute_service.cpp
@@ -85,7 +85,7 @@
         return errorResponse(400, error_code::invalid_argument, "the body must be a JSON object with the member \"body\"", run_state::not_run);
     }
     run.body = (*body)["body"].dump();
-    run.fingerprint = fingerprintOf(run.service, "execute", run.body);
+    run.fingerprint = fingerprintOf({run.service.str(), "execute", run.body});
     if (m_environment.quarantine.standing(run.fingerprint) == request_standing::quarantined) {
         return errorResponse(422, error_code::quarantined, "requests like this one crashed backend servers", run_state::not_run);
     }
@@ -214,7 +214,7 @@
         if (usable.empty() || (suspected && usable.size() < 2)) {
             return std::nullopt;
         }
-        const std::size_t first = fingerprintOf(run.service, "rotation", run.request.str()).value() % usable.size();
+        const std::size_t first = fingerprintOf({run.service.str(), "rotation", run.request.str()}).value() % usable.size();
         for (std::size_t i = 0; i < usable.size(); ++i) {
             const backend_server &server = usable[(first + i) % usable.size()];
             if (const std::optional<std::uint64_t> slot = m_environment.dispatcher.tryAcquire(run.service, server.id)) {
--- a/node/quarantine_controller.cpp
+++ b/node/quarantine_controller.cpp
@@ -2,9 +2,9 @@
 
 #include <fmt/format.h>
 
-#include "core/json.h"
 #include "core/logger.h"
 #include "node/peer_controller.h"
+#include "policy/request_suspicion.h"
 
 namespace snipefall {
 
@@ -33,10 +33,7 @@
         cleared = m_quarantine.ended(request, server, succeeded);
     }
     if (cleared) {
-        m_peers.publish(fact_kind::suspected_request,
-                        fmt::format("cleared/{:016x}", request.value()),
-                        json{{"fingerprint", request.value()}, {"cleared", true}}.dump(),
-                        request_quarantine::RETENTION);
+        publish({request, std::nullopt});
     }
 }
 
@@ -53,28 +50,29 @@
             const char *state = standing(request) == request_standing::quarantined ? "quarantined" : "suspected";
             m_onSuspicion(fmt::format("request {:016x} is {} after the crash of server {}", request.value(), state, server.str()));
         }
-        m_peers.publish(fact_kind::suspected_request,
-                        fmt::format("suspected/{:016x}/{}/{}", request.value(), server.str(), startedMs),
-                        json{{"fingerprint", request.value()}, {"server", server.str()}, {"started_ms", startedMs}}.dump(),
-                        request_quarantine::RETENTION);
+        publish({request, crash_event{server, startedMs}});
     }
 }
 
 void quarantine_controller::handleFact(const fact &news)
 {
-    const outcome<json> document = parseJson(news.payload);
-    if (!document || !document->is_object()) {
+    const std::optional<request_suspicion> suspicion = decodeSuspicion(news);
+    if (!suspicion) {
         logWarning("fact.malformed", {{"key", news.key}, {"origin", news.origin.str()}});
         return;
     }
-    const request_fingerprint request(jsonValue<std::uint64_t>(*document, "fingerprint", 0));
     const std::lock_guard lock(m_mutex);
-    if (jsonValue<bool>(*document, "cleared", false)) {
-        m_quarantine.clear(request);
+    if (!suspicion->crash) {
+        m_quarantine.clear(suspicion->request);
         return;
     }
-    const crash_event event{backend_server_id(jsonValue<std::string>(*document, "server", "")), jsonValue<std::uint64_t>(*document, "started_ms", 0)};
-    m_quarantine.suspect(request, event, system_clock().now());
+    m_quarantine.suspect(suspicion->request, *suspicion->crash, system_clock().now());
+}
+
+void quarantine_controller::publish(const request_suspicion &suspicion)
+{
+    const fact news = encodeSuspicion(suspicion);
+    m_peers.publish(news.kind, news.key, news.payload, news.lifetime);
 }
 
 void quarantine_controller::tick()
--- a/node/query_service.cpp
+++ b/node/query_service.cpp
@@ -116,7 +116,7 @@
     query.route = jsonValue<std::string>(*body, "route", "query").substr(0, MAX_ROUTE_LENGTH);
     query.caller = caller_id(request.header("Caller"));
     query.callerDeadlineMs = deadline.get<std::uint32_t>();
-    query.fingerprint = fingerprintOf(service, query.route, query.query);
+    query.fingerprint = fingerprintOf({service.str(), query.route, query.query});
     query.standing = m_environment.quarantine.standing(query.fingerprint);
     if (query.standing == request_standing::quarantined) {
         return errorResponse(422, error_code::quarantined, "requests like this one crashed backend servers", run_state::not_run);
--- a/policy/request_execution.cpp
+++ b/policy/request_execution.cpp
@@ -93,6 +93,11 @@
     if (outcome == try_outcome::server_error) {
         part.serverError = id;
     }
+    m_anyAnswer = m_anyAnswer || outcome == try_outcome::answered || outcome == try_outcome::server_error;
+    if (outcome == try_outcome::lost) {
+        m_anyLost = true;
+        m_repeatLost = m_repeatLost || part.attempts.front() != id;
+    }
     if (!m_route.idempotent && mayHaveRun(outcome)) {
         part.closed = true;
     }
@@ -207,6 +212,9 @@
         part.closed = true;
         return;
     }
+    if (mayCrashServers() && holdBack(part, now)) {
+        return;
+    }
     const auto server = chooseAgain(part, now);
     if (!server) {
         part.nextTry = now + NO_SERVER_PAUSE;
@@ -222,6 +230,27 @@
     send(index, *server, now, step);
 }
 
+bool request_execution::mayCrashServers() const
+{
+    return m_route.isQuery() && m_parts.size() > 1 && m_anyLost && !m_anyAnswer;
+}
+
+/** A query that may crash servers is repeated on one server at a time, and no more once that one is lost as well, unless an answer shows it to be harmless. */
+bool request_execution::holdBack(part_state &part, time_point now)
+{
+    const bool waiting = std::any_of(m_parts.begin(), m_parts.end(), [](const part_state &item) { return item.inFlight > 0; });
+    if (m_repeatLost && !waiting) {
+        part.closed = true;
+        return true;
+    }
+    const bool repeating = std::any_of(m_parts.begin(), m_parts.end(), [](const part_state &item) { return item.inFlight > 0 && item.attempts.size() > 1; });
+    if (!m_repeatLost && !repeating) {
+        return false;
+    }
+    m_wakeAt = std::min(m_wakeAt, now + NO_SERVER_PAUSE);
+    return true;
+}
+
 std::optional<backend_choice> request_execution::chooseAgain(const part_state &part, time_point now)
 {
     const std::vector<backend_server_id> mayRun = serversThatMayRun(part);
--- a/policy/request_execution.h
+++ b/policy/request_execution.h
@@ -75,6 +75,8 @@
     std::vector<backend_server_id> serversThatMayRun(const part_state &part) const;
     std::optional<backend_choice> chooseAgain(const part_state &part, time_point now);
     bool hopeless(const part_state &part, time_point now) const;
+    bool mayCrashServers() const;
+    bool holdBack(part_state &part, time_point now);
     bool enough(std::size_t answered) const;
     void finishIfDue(time_point now, execution_step &step);
     void finish(execution_result::kind outcome, std::string reason, execution_step &step);
@@ -92,6 +94,9 @@
     duration m_hedgeDelay;
     std::optional<time_point> m_enoughSince; ///< When the least coverage was reached.
     time_point m_wakeAt;
+    bool m_anyAnswer = false; ///< Some server answered a sub-request, be it with a failure.
+    bool m_anyLost = false; ///< The connection of some sub-request ended without an answer.
+    bool m_repeatLost = false; ///< That of a repeated one, too.
     bool m_finished = false;
 };
 
--- a/policy/request_fingerprint.cpp
+++ b/policy/request_fingerprint.cpp
@@ -6,14 +6,17 @@
 
 namespace snipefall {
 
-request_fingerprint fingerprintOf(const service_id &service, std::string_view route, std::string_view body)
+request_fingerprint fingerprintOf(std::initializer_list<std::string_view> parts)
 {
-    std::string text = service.str();
-    // The separator can't be part of a service's name or a route.
-    text += '\0';
-    text += route;
-    text += '\0';
-    text += body;
+    std::string text;
+    for (const std::string_view part : parts) {
+        // The end of a part is no byte of a name, route or address.
+        text += part;
+        text += '\0';
+    }
+    if (!text.empty()) {
+        text.pop_back();
+    }
     return request_fingerprint(stableHash(text));
 }
 
--- a/policy/request_fingerprint.h
+++ b/policy/request_fingerprint.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include <cstdint>
+#include <initializer_list>
 #include <string_view>
 
 #include "core/ids.h"
@@ -8,9 +8,10 @@
 
 namespace snipefall {
 
-/** Names requests that do the same on a backend server: the hash of service, route and body. */
+/** Names requests that do the same on a backend server: a hash of all that tells them apart. */
 using request_fingerprint = strong_number<struct request_fingerprint_tag>;
 
-request_fingerprint fingerprintOf(const service_id &service, std::string_view route, std::string_view body);
+/** The hash of @p parts, for example service, route and body. */
+request_fingerprint fingerprintOf(std::initializer_list<std::string_view> parts);
 
 } // namespace snipefall
--- a/policy/request_quarantine.cpp
+++ b/policy/request_quarantine.cpp
@@ -91,7 +91,7 @@
         return;
     }
     m_provenOrder.push_back(request);
-    if (m_provenOrder.size() > MAX_PROVEN) {
+    if (m_provenOrder.size() > m_maxProven) {
         m_proven.erase(m_provenOrder.front());
         m_provenOrder.pop_front();
     }
--- a/policy/request_quarantine.h
+++ b/policy/request_quarantine.h
@@ -32,9 +32,14 @@
 public:
     /** How long a suspicion or quarantine lasts without a new crash. */
     static constexpr duration RETENTION = std::chrono::hours(6);
-    /** Fingerprints remembered as proven; 8 bytes each and the table's overhead, about 4 MB. */
+    /** Fingerprints remembered as proven unless stated otherwise; 8 bytes each and the table's overhead, about 4 MB. */
     static constexpr std::size_t MAX_PROVEN = 65536;
 
+    explicit request_quarantine(std::size_t maxProven = MAX_PROVEN)
+        : m_maxProven(maxProven)
+    {
+    }
+
     request_standing standing(request_fingerprint request) const;
 
     /** A sub-request was sent to a server. */
@@ -64,6 +69,7 @@
 
     void remember(request_fingerprint request);
 
+    std::size_t m_maxProven;
     std::unordered_map<backend_server_id, std::unordered_map<request_fingerprint, unsigned>> m_inFlight;
     std::unordered_map<request_fingerprint, suspicion> m_suspicions;
     std::unordered_set<request_fingerprint> m_proven;
--- a/tests/policy/test_request_execution.cpp
+++ b/tests/policy/test_request_execution.cpp
@@ -280,4 +280,54 @@
     }
 }
 
+struct lost_query_case
+{
+    const char *name;
+    std::size_t answered; ///< Shards that answer before all others are lost.
+    std::size_t repeats; ///< Sub-requests that are sent again although every repeated one is lost, too.
+    bool resultKnown;
+};
+
+std::ostream &operator<<(std::ostream &out, const lost_query_case &row)
+{
+    return out << row.name;
+}
+
+const lost_query_case LOST_QUERY_CASES[] = {
+    {"no shard answers", 0, 1, true},
+    {"one shard answers", 1, 7, false},
+};
+
+// Guards against a query that crashes the servers of all shards, one after another, and against a query that gives up because a few servers crashed.
+BOOST_DATA_TEST_CASE(aQueryThatMayCrashServersIsRepeatedOnce, boost::unit_test::data::make(LOST_QUERY_CASES), row)
+{
+    execution_site site(8);
+    execution_step step;
+    request_execution execution = site.start(step);
+    BOOST_REQUIRE(step.sends.size() == 8U);
+    std::vector<std::size_t> repeats;
+    const auto collect = [&repeats](const execution_step &made) {
+        for (const sub_request_send &send : made.sends) {
+            repeats.push_back(send.id);
+        }
+    };
+    time_point now = START + milliseconds(2);
+    for (std::size_t id = 0; id < 8; ++id) {
+        step = execution.subRequestEnded(id, id < row.answered ? try_outcome::answered : try_outcome::lost, now);
+        collect(step);
+    }
+    std::size_t ended = 0;
+    for (; !step.result && now < START + milliseconds(60); now += milliseconds(1)) {
+        step = execution.tick(now);
+        collect(step);
+        for (; ended < repeats.size() && ended < row.repeats && !step.result; ++ended) {
+            step = execution.subRequestEnded(repeats[ended], try_outcome::lost, now);
+            collect(step);
+        }
+    }
+    BOOST_TEST(repeats.size() >= row.repeats);
+    BOOST_TEST((row.answered > 0 || repeats.size() == row.repeats));
+    BOOST_TEST(step.result.has_value() == row.resultKnown);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/stand_ins/loopback_proxy.cpp
+++ b/tests/stand_ins/loopback_proxy.cpp
@@ -45,7 +45,7 @@
     void setFault(fault now)
     {
         m_fault = now;
-        if (now == fault::reset) {
+        if (now == fault::reset || now == fault::refusing) {
             boost::system::error_code ignored; // A connection that is closed already is what is wanted.
             m_caller.set_option(boost::asio::socket_base::linger(true, 0), ignored);
             m_server.set_option(boost::asio::socket_base::linger(true, 0), ignored);
@@ -111,6 +111,7 @@
     : m_loop(loop)
     , m_target(std::move(target))
     , m_acceptor(loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+    , m_endpoint(m_acceptor.local_endpoint())
 {
     accept();
 }
@@ -126,11 +127,25 @@
 
 std::string loopback_proxy::address() const
 {
-    return "127.0.0.1:" + std::to_string(m_acceptor.local_endpoint().port());
+    return "127.0.0.1:" + std::to_string(m_endpoint.port());
+}
+
+void loopback_proxy::stopListening()
+{
+    boost::system::error_code ignored; // A listener that is closed already is what is wanted.
+    m_acceptor.close(ignored);
+}
+
+void loopback_proxy::listenAgain()
+{
+    m_acceptor = tcp::acceptor(m_loop, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    m_endpoint = m_acceptor.local_endpoint();
+    accept();
 }
 
 void loopback_proxy::setFault(fault now)
 {
+    const fault before = m_fault;
     m_fault = now;
     m_links.remove_if([](const auto &weak) { return weak.expired(); });
     for (const auto &weak : m_links) {
@@ -138,12 +153,18 @@
             open->setFault(now);
         }
     }
+    if (now == fault::refusing && before != fault::refusing) {
+        stopListening();
+    }
+    if (now != fault::refusing && before == fault::refusing) {
+        listenAgain();
+    }
 }
 
 void loopback_proxy::accept()
 {
     m_acceptor.async_accept([this](const boost::system::error_code &error, tcp::socket socket) {
-        if (error == boost::asio::error::operation_aborted) {
+        if (error == boost::asio::error::operation_aborted || m_fault == fault::refusing) {
             return;
         }
         if (!error) {
--- a/tests/stand_ins/loopback_proxy.h
+++ b/tests/stand_ins/loopback_proxy.h
@@ -21,6 +21,7 @@
         reset, ///< Connections are reset.
         silent, ///< Bytes of both directions vanish; connections stay open.
         one_way, ///< Bytes of the answering side vanish.
+        refusing, ///< Connections are reset and no new one is accepted, as by a process that has crashed; it comes back at another address.
     };
 
     loopback_proxy(boost::asio::io_context &loop, std::string target);
@@ -36,10 +37,13 @@
     class link;
 
     void accept();
+    void stopListening();
+    void listenAgain();
 
     boost::asio::io_context &m_loop;
     std::string m_target;
     boost::asio::ip::tcp::acceptor m_acceptor;
+    boost::asio::ip::tcp::endpoint m_endpoint;
     std::list<std::weak_ptr<link>> m_links;
     fault m_fault = fault::none;
 };
--- a/tests/stand_ins/site_backend.cpp
+++ b/tests/stand_ins/site_backend.cpp
@@ -57,6 +57,12 @@
                  {"born", m_startedMs}});
 }
 
+void site_backend::crashOn(const std::string &text, std::function<void()> crash)
+{
+    m_crashText = text;
+    m_crash = std::move(crash);
+}
+
 void site_backend::withdraw()
 {
     m_store.remove("servers", m_options.id);
@@ -105,13 +111,17 @@
 
 void site_backend::work(const std::shared_ptr<http_exchange> &exchange)
 {
-    ++m_working;
     const http_request_message &request = exchange->request();
     m_runs.push_back({std::string(request["Request-Id"]),
                       std::string(request.method_string()),
                       std::string(request.target()),
                       request.body(),
                       std::chrono::steady_clock::now()});
+    if (!m_crashText.empty() && std::string(request.target()).find(m_crashText) != std::string::npos) {
+        m_crash();
+        return;
+    }
+    ++m_working;
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, m_options.work + m_faults.slower);
     timer->async_wait([this, exchange, timer](const boost::system::error_code &) {
         --m_working;
--- a/tests/stand_ins/site_backend.h
+++ b/tests/stand_ins/site_backend.h
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -57,6 +58,8 @@
     /** Makes its entry name another address, for example that of a proxy before it. */
     void advertise(const std::string &address);
     void setFaults(const faults &now) { m_faults = now; }
+    /** Requests whose target contains @p text crash the server: @p crash is called instead of an answer. */
+    void crashOn(const std::string &text, std::function<void()> crash);
     /** Writes its entry; @p state is "ready" or "draining". */
     void report(const std::string &state);
     void withdraw();
@@ -82,6 +85,8 @@
     site_store &m_store;
     options m_options;
     faults m_faults;
+    std::string m_crashText; ///< Empty if no request crashes the server.
+    std::function<void()> m_crash;
     std::string m_advertised;
     async_http_server m_server;
     std::deque<waiting> m_queue;
--- a/tests/stand_ins/site_emulator.cpp
+++ b/tests/stand_ins/site_emulator.cpp
@@ -16,6 +16,8 @@
 
 /** Far longer than any step takes; the tests assert no times. */
 constexpr std::chrono::seconds LONGEST_WAIT(60);
+/** Time until a crashed server listens again. */
+constexpr std::chrono::milliseconds CRASH_TIME(400);
 
 std::string freeAddress()
 {
@@ -259,6 +261,22 @@
     });
 }
 
+void site_emulator::crashServersOn(const std::string &text)
+{
+    for (std::size_t i = 0; i < m_servers.size(); ++i) {
+        m_servers[i]->crashOn(text, [this, i] {
+            m_serverProxies[i]->setFault(loopback_proxy::fault::refusing);
+            const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, CRASH_TIME);
+            timer->async_wait([this, i, timer](const boost::system::error_code &cancelled) {
+                if (!cancelled && i < m_serverProxies.size()) {
+                    m_serverProxies[i]->setFault(loopback_proxy::fault::none);
+                    m_servers[i]->advertise(m_serverProxies[i]->address());
+                }
+            });
+        });
+    }
+}
+
 std::vector<site_backend *> site_emulator::serversOf(const std::string &service)
 {
     std::vector<site_backend *> found;
--- a/tests/stand_ins/site_emulator.h
+++ b/tests/stand_ins/site_emulator.h
@@ -99,6 +99,8 @@
     std::vector<site_backend *> serversOf(const std::string &service);
     const std::vector<std::string> &shards() const { return m_shards; }
     const options &settings() const { return m_options; }
+    /** From now on servers crash when they run a request whose target contains @p text, and are back a little later; needs the proxies. */
+    void crashServersOn(const std::string &text);
     std::string addServer(const std::string &service, const std::string &domain);
     /** The proxies before the backend servers and, by node, before the store; only with the option, and only on the event loop. */
     std::vector<std::unique_ptr<loopback_proxy>> &serverProxies() { return m_serverProxies; }
--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -13,6 +13,19 @@
 
 namespace {
 
+struct crashing_case
+{
+    const char *name;
+    const char *method;
+    const char *path;
+    const char *service;
+};
+
+std::ostream &operator<<(std::ostream &out, const crashing_case &row)
+{
+    return out << row.name;
+}
+
 /** An emulated site with a few nodes that are ready and know each other. */
 struct running_site
 {
@@ -51,6 +64,37 @@
         });
     }
 
+    /** Requests for a target that reached the servers of a service and began to run. */
+    std::size_t runsOn(const std::string &service, const std::string &target)
+    {
+        return site.onLoop([&] {
+            std::ptrdiff_t runs = 0;
+            for (site_backend *server : site.serversOf(service)) {
+                runs += std::count_if(server->runs().begin(), server->runs().end(), [&](const site_backend::run &run) { return run.target == target; });
+            }
+            return static_cast<std::size_t>(runs);
+        });
+    }
+
+    bool refuses(const crashing_case &request, const std::string &node)
+    {
+        const site_caller::request message{request.method, site_emulator::HOST, request.path, "", site.newId(), milliseconds(500)};
+        return site.call(site.addresses(node).callers, message).body == "crashes_backend_servers\n";
+    }
+
+    /** Sends a request that crashes servers until the node refuses it. */
+    bool becomesRefused(const crashing_case &request, const std::string &node)
+    {
+        site.onLoop([&] { site.crashServersOn(request.path); });
+        return site_emulator::waitFor([&] { return refuses(request, node); });
+    }
+
+    bool queriesSucceed()
+    {
+        return site_emulator::waitFor(
+            [&] { return std::all_of(names.begin(), names.end(), [&](const auto &node) { return site.query(node).status == 200; }); });
+    }
+
     site_emulator site;
     std::vector<std::string> names;
 };
@@ -355,6 +399,27 @@
     }));
 }
 
+const crashing_case CRASHING_CASES[] = {
+    {"query", "GET", "/query/poison", "shard-0"},
+    {"order", "POST", "/order/poison", site_emulator::PLAIN_SERVICE},
+};
+
+// Guards against a request that crashes every server that runs it, again and again and through each node.
+BOOST_DATA_TEST_CASE(crashingRequestsAreStopped, boost::unit_test::data::make(CRASHING_CASES), row)
+{
+    site_emulator::options options;
+    options.proxies = true;
+    running_site running(2, options);
+    BOOST_TEST(running.becomesRefused(row, "node-0"));
+    BOOST_TEST(running.becomesRefused(row, "node-1"));
+    const std::size_t before = running.runsOn(row.service, row.path);
+    for (std::size_t i = 0; i < 10; ++i) {
+        BOOST_TEST(running.refuses(row, running.names[i % 2]));
+    }
+    BOOST_TEST(running.runsOn(row.service, row.path) == before);
+    BOOST_TEST(running.queriesSucceed());
+}
+
 // Guards against calls to a store that is away from each of the followers, which are paid for and bring nothing.
 BOOST_AUTO_TEST_CASE(oneFollowerLooksForAStoreThatIsAway)
 {
--- a/tier/caller_service.cpp
+++ b/tier/caller_service.cpp
@@ -4,6 +4,8 @@
 
 #include "core/logger.h"
 #include "platform/caller_messages.h"
+#include "policy/request_fingerprint.h"
+#include "tier/crash_controller.h"
 #include "tier/tier_blackboard.h"
 #include "tier/tier_metrics.h"
 #include "tier/tier_settings.h"
@@ -16,6 +18,16 @@
 constexpr duration BUSY_RETRY_AFTER = std::chrono::milliseconds(100);
 /** The final answer is sent this long before the time limits, so that it arrives within them. */
 constexpr duration END_MARGIN = std::chrono::milliseconds(10);
+/** A request that crashes servers is refused for hours; this only keeps its caller from coming back at once. */
+constexpr duration CRASHING_RETRY_AFTER = std::chrono::seconds(60);
+
+/** Requests of one caller with the same content do the same on a backend server. */
+request_fingerprint fingerprintOf(const http_exchange &exchange, const caller_request &request)
+{
+    const http_request_message &message = exchange.request();
+    const auto method = message.method_string();
+    return snipefall::fingerprintOf({exchange.client(), std::string_view(method.data(), method.size()), request.host, request.target, message.body()});
+}
 
 } // namespace
 
@@ -48,8 +60,13 @@
         refuse(*exchange, 503, request->id, "too_many_requests", BUSY_RETRY_AFTER);
         return;
     }
+    const request_fingerprint fingerprint = fingerprintOf(*exchange, *request);
+    if (m_environment.crashes.refuses(fingerprint)) {
+        refuse(*exchange, 503, request->id, "crashes_backend_servers", CRASHING_RETRY_AFTER);
+        return;
+    }
     const request_times times = timesOf(*exchange, *request, *route);
-    const auto runner = std::make_shared<request_runner>(m_environment, exchange, *request, routes, *route, servicesOf(*route), times);
+    const auto runner = std::make_shared<request_runner>(m_environment, exchange, *request, fingerprint, routes, *route, servicesOf(*route), times);
     m_running.insert(runner);
     runner->start([this, weak = std::weak_ptr<request_runner>(runner)] { m_running.erase(weak.lock()); });
 }
--- /dev/null
+++ b/tier/crash_controller.cpp
@@ -0,0 +1,133 @@
+#include "tier/crash_controller.h"
+
+#include <algorithm>
+
+#include <fmt/format.h>
+
+#include "core/logger.h"
+#include "http/async_http_client.h"
+#include "platform/health_check.h"
+#include "policy/request_suspicion.h"
+#include "tier/loop_clock.h"
+#include "tier/tier_blackboard.h"
+
+namespace snipefall {
+
+namespace {
+
+/** Health checks for one request; one server that is gone is enough. */
+constexpr std::size_t CHECKS_PER_REQUEST = 2;
+/** Bounds the load while many requests fail at once. */
+constexpr std::size_t MAX_CHECKS = 8;
+/** A server that crashed refuses connections at once. */
+constexpr duration CHECK_TIMEOUT = std::chrono::milliseconds(500);
+/** A node that reaches the servers of fewer services than this is likely to be cut off itself. */
+constexpr double MAX_UNREACHABLE_SHARE = 0.3;
+/** Requests remembered as harmless, some 64 bytes each; a node's memory is dear. */
+constexpr std::size_t MAX_PROVEN_REQUESTS = 4096;
+
+std::string textOf(request_fingerprint request)
+{
+    return fmt::format("{:016x}", request.value());
+}
+
+} // namespace
+
+/** The search for a crashed server among those on which one request was lost. */
+struct crash_controller::crash_search
+{
+    request_fingerprint request;
+    request_id id;
+    bool found = false;
+};
+
+crash_controller::crash_controller(async_http_client &client, tier_blackboard &board)
+    : m_client(client)
+    , m_board(board)
+    , m_quarantine(MAX_PROVEN_REQUESTS)
+{
+}
+
+void crash_controller::answered(request_fingerprint request)
+{
+    const request_standing before = m_quarantine.standing(request);
+    m_quarantine.clear(request);
+    if (before == request_standing::suspected || before == request_standing::quarantined) {
+        logInfo("request.cleared", {{"fingerprint", textOf(request)}, {"reason", "answered"}});
+        publish({request, std::nullopt});
+    }
+}
+
+void crash_controller::unanswered(request_fingerprint request, const request_id &id, const std::vector<lost_server> &servers)
+{
+    if (servers.empty() || m_quarantine.standing(request) == request_standing::proven || m_board.servers.unreachableShare(now()) >= MAX_UNREACHABLE_SHARE) {
+        return;
+    }
+    const auto search = std::make_shared<crash_search>(crash_search{request, id});
+    for (std::size_t i = 0; i < std::min(servers.size(), CHECKS_PER_REQUEST); ++i) {
+        if (m_checks >= MAX_CHECKS) {
+            logInfo("request.crash_not_checked", {{"request", id.str()}, {"server", servers[i].id.str()}, {"reason", "too_many_checks"}});
+            return;
+        }
+        ++m_checks;
+        client_call call;
+        call.address = servers[i].address;
+        call.bytes = healthCheck(servers[i].healthPath, servers[i].address);
+        call.newConnection = true;
+        call.deadline = now() + CHECK_TIMEOUT;
+        m_client.start(std::move(call), [this, search, server = servers[i]](const client_result &result) {
+            --m_checks;
+            checked(*search, server, result);
+        });
+    }
+}
+
+void crash_controller::checked(crash_search &search, const lost_server &server, const client_result &result)
+{
+    const bool otherServer = result.outcome == client_result::kind::answered && !answersAs(result.response, server.id);
+    const bool crashed = result.outcome == client_result::kind::not_sent || otherServer;
+    logInfo("server.checked_after_loss",
+            {{"request", search.id.str()}, {"server", server.id.str()}, {"address", server.address}, {"crashed", crashed ? "yes" : "no"}});
+    if (!crashed || search.found) {
+        return;
+    }
+    search.found = true;
+    const backend_entry *entry = m_board.servers.find(server.id);
+    const crash_event crash{server.id, entry ? entry->startedMs : 0};
+    m_quarantine.suspect(search.request, crash, now());
+    logWarning(refuses(search.request) ? "request.quarantined" : "request.suspected",
+               {{"request", search.id.str()}, {"fingerprint", textOf(search.request)}, {"server", server.id.str()}});
+    publish({search.request, crash});
+}
+
+void crash_controller::learn(const fact &news)
+{
+    const std::optional<request_suspicion> suspicion = decodeSuspicion(news);
+    if (!suspicion) {
+        logWarning("peers.fact_malformed", {{"key", news.key}, {"origin", news.origin.str()}});
+        return;
+    }
+    if (!suspicion->crash) {
+        m_quarantine.clear(suspicion->request);
+        return;
+    }
+    if (m_quarantine.standing(suspicion->request) == request_standing::proven) {
+        // It ran here without a crash, which the others may not know.
+        publish({suspicion->request, std::nullopt});
+        return;
+    }
+    m_quarantine.suspect(suspicion->request, *suspicion->crash, now());
+    if (refuses(suspicion->request)) {
+        logWarning("request.quarantined",
+                   {{"fingerprint", textOf(suspicion->request)}, {"server", suspicion->crash->server.str()}, {"origin", news.origin.str()}});
+    }
+}
+
+void crash_controller::publish(const request_suspicion &suspicion)
+{
+    if (m_publish) {
+        m_publish(encodeSuspicion(suspicion));
+    }
+}
+
+} // namespace snipefall
--- a/tier/peer_link.cpp
+++ b/tier/peer_link.cpp
@@ -34,6 +34,16 @@
     return {self.id, self.started, {peer_key{"cluster", sha256Hex(clusterName)}}, MAX_CLOCK_SKEW_MS};
 }
 
+fact factOf(fact_kind kind, std::string key, std::string payload, duration lifetime)
+{
+    fact item;
+    item.kind = kind;
+    item.key = std::move(key);
+    item.payload = std::move(payload);
+    item.lifetime = lifetime;
+    return item;
+}
+
 } // namespace
 
 peer_link::peer_link(boost::asio::io_context &loop, member self, double cores, const std::string &clusterName, std::uint64_t seed)
@@ -78,27 +88,24 @@
 
 void peer_link::announceStop()
 {
-    publish(fact_kind::draining_node, DRAINING_PREFIX + m_self.id.str(), m_self.id.str(), DRAINING_LIFETIME);
-    send(m_engine.pushNews(now()));
+    publish(factOf(fact_kind::draining_node, DRAINING_PREFIX + m_self.id.str(), m_self.id.str(), DRAINING_LIFETIME));
 }
 
 void peer_link::announceCapacity()
 {
     m_capacityAnnounced = now();
     const std::string thousandths = std::to_string(static_cast<long>(m_cores * 1000));
-    publish(fact_kind::node_capacity, CAPACITY_PREFIX + m_self.id.str(), m_self.id.str() + "=" + thousandths, CAPACITY_LIFETIME);
+    publish(factOf(fact_kind::node_capacity, CAPACITY_PREFIX + m_self.id.str(), m_self.id.str() + "=" + thousandths, CAPACITY_LIFETIME));
 }
 
-void peer_link::publish(fact_kind kind, const std::string &key, const std::string &payload, duration lifetime)
+void peer_link::publish(fact item)
 {
-    fact item;
-    item.kind = kind;
-    item.key = key;
-    item.payload = payload;
-    item.lifetime = lifetime;
+    const std::string key = item.key;
     if (const auto published = m_engine.publish(now(), std::move(item)); !published) {
         logWarning("peers.fact_not_published", {{"key", key}, {"reason", published.reason().message}});
+        return;
     }
+    send(m_engine.pushNews(now()));
 }
 
 void peer_link::leave()
@@ -225,6 +232,11 @@
             m_onPeerAhead(object_version(peer.version.value()));
         }
     }
+    for (const fact &item : events.facts) {
+        if (m_onFact) {
+            m_onFact(item);
+        }
+    }
     for (const member_event &event : events.members) {
         logInfo("peers.member_changed",
                 {{"change", toString(event.kind)},
--- a/tier/peer_link.h
+++ b/tier/peer_link.h
@@ -38,6 +38,10 @@
 
     /** Tells the others the newest change of the store that this node knows. */
     void setNewestChange(object_version revision) { m_engine.setConfigVersion(config_version(revision.value())); }
+    /** Tells all nodes something; see fact_table. */
+    void publish(fact item);
+    /** Called with what peers published. */
+    void onFact(std::function<void(const fact &)> handler) { m_onFact = std::move(handler); }
     /** Called when a peer knows a newer change. */
     void onPeerAhead(std::function<void(object_version)> handler) { m_onPeerAhead = std::move(handler); }
 
@@ -51,7 +55,6 @@
 
 private:
     std::vector<entry_candidate> entriesWhere(bool doubtful) const;
-    void publish(fact_kind kind, const std::string &key, const std::string &payload, duration lifetime);
     void announceCapacity();
     void receive();
     void handle(const std::string &from, std::string_view bytes);
@@ -69,6 +72,7 @@
     gossip_engine m_engine;
     std::map<node_id, time_point> m_lastLive;
     std::function<void(object_version)> m_onPeerAhead;
+    std::function<void(const fact &)> m_onFact;
     std::array<char, envelope_codec::MAX_DATAGRAM_BYTES + 1> m_buffer{};
     boost::asio::ip::udp::endpoint m_sender;
 };
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -8,6 +8,7 @@
 #include "platform/caller_messages.h"
 #include "platform/sub_answer_reader.h"
 #include "policy/record_merge.h"
+#include "tier/crash_controller.h"
 #include "tier/loop_clock.h"
 #include "tier/tier_blackboard.h"
 #include "tier/tier_metrics.h"
@@ -21,6 +22,8 @@
  * server's pause is shorter, too.
  */
 constexpr duration LOSER_TIME = std::chrono::milliseconds(500);
+/** Any path shows whether a server lives; this one is the usual path of health checks. */
+constexpr char DEFAULT_HEALTH_PATH[] = "/health";
 /** Backend servers have to be rid of the requests of a caller that left within half a second. */
 constexpr duration CALLER_LEFT_TIME = std::chrono::milliseconds(200);
 
@@ -34,6 +37,7 @@
 request_runner::request_runner(environment surroundings,
                                std::shared_ptr<http_exchange> exchange,
                                caller_request request,
+                               request_fingerprint fingerprint,
                                std::shared_ptr<const route_matcher> routes,
                                const request_route &route,
                                std::vector<service_id> services,
@@ -41,6 +45,7 @@
     : m_environment(surroundings)
     , m_exchange(std::move(exchange))
     , m_request(std::move(request))
+    , m_fingerprint(fingerprint)
     , m_routes(std::move(routes))
     , m_route(route)
     , m_times(times)
@@ -158,6 +163,7 @@
     m_timer.cancel();
     m_exchange->respond(answerOf(result));
     limitSubRequests(LOSER_TIME);
+    reportToCrashes(result);
     const bool partial = result.outcome == execution_result::kind::answered && result.missing > 0;
     logEnd(partial ? "partial" : toString(result.outcome), result.reason, result.missing);
     m_exchange.reset();
@@ -197,6 +203,27 @@
     }
 }
 
+void request_runner::reportToCrashes(const execution_result &result)
+{
+    if (result.outcome == execution_result::kind::answered) {
+        m_environment.crashes.answered(m_fingerprint);
+        return;
+    }
+    std::vector<crash_controller::lost_server> lost;
+    for (const sub_request &item : m_subRequests) {
+        if (item.outcome == try_outcome::answered || item.outcome == try_outcome::server_error) {
+            return;
+        }
+        if (item.outcome == try_outcome::lost) {
+            const backend_entry *entry = m_environment.board.servers.find(item.server.id);
+            const auto rules = m_routes->configuration().services.find(entry ? entry->service : service_id());
+            const bool known = rules != m_routes->configuration().services.end() && !rules->second.healthPath.empty();
+            lost.push_back({item.server.id, item.server.address, known ? rules->second.healthPath : DEFAULT_HEALTH_PATH});
+        }
+    }
+    m_environment.crashes.unanswered(m_fingerprint, m_request.id, lost);
+}
+
 void request_runner::callerLeft()
 {
     if (m_finished) {
--- a/tier/request_runner.h
+++ b/tier/request_runner.h
@@ -13,11 +13,13 @@
 #include "platform/caller_request.h"
 #include "platform/sub_request_writer.h"
 #include "policy/request_execution.h"
+#include "policy/request_fingerprint.h"
 #include "policy/route_matcher.h"
 
 namespace snipefall {
 
 struct tier_blackboard;
+class crash_controller;
 class tier_metrics;
 
 /** Runs one request of a caller: sends what its execution decides and answers the caller. */
@@ -31,12 +33,14 @@
         async_http_client &client;
         tier_blackboard &board;
         tier_metrics &metrics;
+        crash_controller &crashes;
     };
 
     /** @p routes is the configuration in force, to which the route belongs; the request keeps it to its end. */
     request_runner(environment surroundings,
                    std::shared_ptr<http_exchange> exchange,
                    caller_request request,
+                   request_fingerprint fingerprint,
                    std::shared_ptr<const route_matcher> routes,
                    const request_route &route,
                    std::vector<service_id> services,
@@ -65,12 +69,14 @@
     void finish(const execution_result &result);
     http_response_message answerOf(const execution_result &result) const;
     void limitSubRequests(duration linger);
+    void reportToCrashes(const execution_result &result);
     void callerLeft();
     void logEnd(std::string_view outcome, const std::string &reason, std::size_t missing);
 
     environment m_environment;
     std::shared_ptr<http_exchange> m_exchange;
     caller_request m_request;
+    request_fingerprint m_fingerprint;
     std::shared_ptr<const route_matcher> m_routes;
     const request_route &m_route;
     request_times m_times;
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -63,7 +63,8 @@
     , m_store(m_loop, m_boot.storeAddress)
     , m_client(m_loop, async_client_options())
     , m_site(m_loop, m_store, m_board, m_boot)
-    , m_callers({m_loop, m_client, m_board, m_metrics}, m_settings, m_seed + 1)
+    , m_crashes(m_client, m_board)
+    , m_callers({m_loop, m_client, m_board, m_metrics, m_crashes}, m_settings, m_seed + 1)
     , m_callerServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { m_callers.handle(exchange); })
     , m_readyServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { answerReady(*exchange); })
     , m_directoryServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { answerDirectory(*exchange); })
@@ -95,6 +96,8 @@
              {"incarnation", std::to_string(m_self.started.value())}});
     m_site.onConfiguration([this](const site_configuration &configuration) { applyConfiguration(configuration); });
     m_peers.onPeerAhead([this](object_version newest) { m_site.peerKnows(newest); });
+    m_peers.onFact([this](const fact &news) { takeFact(news); });
+    m_crashes.onNews([this](fact news) { m_peers.publish(std::move(news)); });
     applyBoot();
     m_site.start(m_boot.firstStart);
     waitForSignals();
@@ -165,6 +168,7 @@
     m_metrics.setGauge("live_peers", static_cast<double>(m_peers.livePeers()));
     m_metrics.setGauge("caller_connections", static_cast<double>(m_callerServer.openConnections()));
     m_metrics.setGauge("running_requests", static_cast<double>(m_callers.running()));
+    m_metrics.setGauge("refused_crashing_requests", static_cast<double>(m_crashes.refusedRequests()));
     m_metrics.setGauge("store_calls", static_cast<double>(m_store.calls()));
     m_metrics.setGauge("backend_connections_opened", static_cast<double>(m_client.connectionsOpened()));
     http_response_message answer = ownAnswer(200, request_id(), "", duration::zero());
@@ -185,6 +189,13 @@
     joinPeersIfReady();
 }
 
+void tier_process::takeFact(const fact &news)
+{
+    if (news.kind == fact_kind::suspected_request) {
+        m_crashes.learn(news);
+    }
+}
+
 void tier_process::applyBoot()
 {
     m_site.setBounds(m_boot);
@@ -260,6 +271,7 @@
         m_site.refresh();
     }
     m_site.runDue();
+    m_crashes.tick(now());
     m_peers.setNewestChange(m_site.newestChange());
     reloadIfChanged();
     shareLimits();
--- a/tier/tier_process.h
+++ b/tier/tier_process.h
@@ -14,6 +14,7 @@
 #include "platform/boot_settings.h"
 #include "platform/store_client.h"
 #include "tier/caller_service.h"
+#include "tier/crash_controller.h"
 #include "tier/node_register.h"
 #include "tier/peer_link.h"
 #include "tier/site_controller.h"
@@ -39,6 +40,7 @@
     void answerDirectory(http_exchange &exchange);
     void answerMetrics(http_exchange &exchange);
     void applyConfiguration(const site_configuration &configuration);
+    void takeFact(const fact &news);
     void applyBoot();
     /** Divides the limits that all nodes keep together by the number of nodes. */
     void shareLimits();
@@ -64,6 +66,7 @@
     store_client m_store;
     async_http_client m_client;
     site_controller m_site;
+    crash_controller m_crashes;
     caller_service m_callers;
     async_http_server m_callerServer;
     async_http_server m_readyServer;
