Send nothing to a server whose address another one has taken

Change: after a 421 the entry gets nothing until a newer report of that server. The table test fails without it.

--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -82,6 +82,8 @@
     if (current.entry.startedMs != entry.startedMs || current.entry.address != entry.address) {
         current.health.reset();
     }
+    const bool newReport = current.entry.startedMs != entry.startedMs || current.entry.address != entry.address || current.entry.sequence < entry.sequence;
+    current.replaced = current.replaced && !newReport;
     current.entry = entry;
     current.expiresAt.reset();
     current.coldUntil = now + entry.warmUpLeft;
@@ -124,6 +126,14 @@
     }
 }
 
+void backend_table::noteReplaced(const backend_server_id &id)
+{
+    const auto known = m_servers.find(id);
+    if (known != m_servers.end()) {
+        known->second.replaced = true;
+    }
+}
+
 void backend_table::noteStoreAway(time_point now)
 {
     m_storeAway = true;
@@ -177,7 +187,7 @@
 
 bool backend_table::usable(const server &candidate) const
 {
-    return !candidate.entry.draining && !m_excludedDomains.contains(candidate.entry.domain);
+    return !candidate.entry.draining && !candidate.replaced && !m_excludedDomains.contains(candidate.entry.domain);
 }
 
 bool backend_table::warmUpAllows(const server &candidate, time_point now) const
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -41,6 +41,8 @@
     bool apply(const backend_entry &entry, time_point now);
     /** Takes over that an entry is gone. */
     void remove(const backend_server_id &id, time_point now);
+    /** Another server answered at the address of @p id, so that it gets nothing until a newer report of it comes. */
+    void noteReplaced(const backend_server_id &id);
     /** The store could not be asked; it may drop entries of servers that live. */
     void noteStoreAway(time_point now);
     /** The store answers again after it could not be asked. */
@@ -86,6 +88,7 @@
         backend_entry entry;
         backend_health health;
         std::optional<time_point> expiresAt; ///< Missing in the store; dropped at this time unless it comes back.
+        bool replaced = false; ///< Another server has its address.
         time_point coldUntil{};
         std::int64_t warmUpSecond = 0;
         unsigned warmUpRequests = 0;
--- a/tests/policy/test_backend_table.cpp
+++ b/tests/policy/test_backend_table.cpp
@@ -204,4 +204,41 @@
     BOOST_TEST(sent.size() > 20U);
 }
 
+struct replaced_case
+{
+    const char *name;
+    std::uint64_t startedMs;
+    std::uint64_t sequence;
+    const char *address;
+    bool used;
+};
+
+std::ostream &operator<<(std::ostream &out, const replaced_case &row)
+{
+    return out << row.name;
+}
+
+const replaced_case REPLACED_CASES[] = {
+    {"the same report, read once more", 100, 5, "10.0.0.1:1001", false},
+    {"a newer report", 100, 6, "10.0.0.1:1001", true},
+    {"a report of a later run", 200, 1, "10.0.0.1:1001", true},
+    {"another address", 100, 5, "10.0.0.1:9", true},
+};
+
+// Guards against requests for a server that is gone while the store can't say so: each of them is an extra arrival at the service that has its address now.
+BOOST_DATA_TEST_CASE(replacedServersGetNothingUntilTheyReport, boost::unit_test::data::make(REPLACED_CASES), row)
+{
+    backend_table table(HERE, 1);
+    backend_entry entry = entryOf("a");
+    table.apply(entry, START);
+    table.noteReplaced(backend_server_id("a"));
+    BOOST_TEST(chosen(table, START) == "");
+    BOOST_TEST(!table.hasReachableServer(SERVICE, START));
+    entry.startedMs = row.startedMs;
+    entry.sequence = row.sequence;
+    entry.address = row.address;
+    table.apply(entry, START);
+    BOOST_TEST((chosen(table, START) == "a") == row.used);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -123,6 +123,9 @@
         m_environment.board.latencies.record(m_route.name, latency, at);
     }
     m_environment.metrics.subRequestEnded(toString(outcome), ended.repeated, latency);
+    if (outcome == try_outcome::wrong_server) {
+        m_environment.board.servers.noteReplaced(ended.server.id);
+    }
     if (outcome == try_outcome::timed_out) {
         // Other connections to the server may have gone silent as well. A lost one says nothing of the others: a server that has too many resets new ones.
         m_environment.client.closeIdle(ended.server.address);
