Carry out moves between versions that operators order through the store

Cause: the target version of an order got nothing, so that a good one missed its deadline, and after a roll-back it got its full share of requests again. Change: the target gets half of the allowed share until shortly before the time limit, then all requests for a moment, and the end is recorded; the statistics and the fault detector of the own interface judge the counts of all nodes, which travel as facts. A fault stops the target on all nodes without the store.

--- a/node/move_manager.cpp
+++ b/node/move_manager.cpp
@@ -6,9 +6,9 @@
 #include "core/configuration_replica.h"
 #include "core/crypto.h"
 #include "core/logger.h"
-#include "node/move_messages.h"
 #include "node/peer_controller.h"
 #include "policy/move_controller.h"
+#include "policy/move_messages.h"
 #include "policy/placement.h"
 
 namespace snipefall {
--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -217,26 +217,18 @@
     ++chosen.warmUpRequests;
 }
 
-bool backend_table::versionAllows(const server &candidate) const
+backend_table::candidates backend_table::cheapest(
+    const std::vector<server *> &servers, const std::vector<backend_server_id> &excluded, const version_filter &versions, duration usualLatency, time_point now)
 {
-    const auto heldBack = m_heldBackVersions.find(candidate.entry.service);
-    return heldBack == m_heldBackVersions.end() || candidate.entry.version != heldBack->second;
-}
-
-std::optional<backend_choice> backend_table::choose(
-    const service_id &service, const std::vector<backend_server_id> &excluded, suspended_servers suspended, duration usualLatency, time_point now)
-{
-    const auto found = m_byService.find(service);
-    if (found == m_byService.end()) {
-        return std::nullopt;
-    }
     std::uniform_real_distribution<double> unit(0.0, 1.0);
-    const std::size_t connections = connectionShare(service);
-    server *best = nullptr;
-    server *bestSuspended = nullptr;
+    const std::size_t connections = connectionShare(servers.front()->entry.service);
+    candidates found;
     double bestCost = 0;
-    for (server *candidate : found->second) {
-        if (!usable(*candidate) || !versionAllows(*candidate) || !warmUpAllows(*candidate, now)) {
+    for (server *candidate : servers) {
+        if (!usable(*candidate) || !warmUpAllows(*candidate, now)) {
+            continue;
+        }
+        if (versions.target && (candidate->entry.version == *versions.target) != versions.wantsTarget) {
             continue;
         }
         if (std::find(excluded.begin(), excluded.end(), candidate->entry.id) != excluded.end()) {
@@ -246,8 +238,8 @@
             continue;
         }
         if (candidate->health.suspended(now)) {
-            if (!bestSuspended || candidate->health.suspendedUntil() < bestSuspended->health.suspendedUntil()) {
-                bestSuspended = candidate;
+            if (!found.bestSuspended || candidate->health.suspendedUntil() < found.bestSuspended->health.suspendedUntil()) {
+                found.bestSuspended = candidate;
             }
             continue;
         }
@@ -255,13 +247,37 @@
         cost *= candidate->entry.domain == m_ownDomain ? 1.0 : OTHER_DOMAIN_COST;
         cost *= candidate->expiresAt ? MISSING_COST : 1.0;
         cost *= now < candidate->coldUntil ? COLD_COST : 1.0;
-        if (!best || cost < bestCost) {
-            best = candidate;
+        if (!found.best || cost < bestCost) {
+            found.best = candidate;
             bestCost = cost;
         }
     }
+    return found;
+}
+
+std::optional<backend_choice> backend_table::choose(
+    const service_id &service, const std::vector<backend_server_id> &excluded, suspended_servers suspended, duration usualLatency, time_point now)
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end()) {
+        return std::nullopt;
+    }
+    version_filter versions;
+    bool othersMayReplace = false;
+    if (const auto divided = m_versionShares.find(service); divided != m_versionShares.end()) {
+        versions.target = &divided->second.target;
+        versions.wantsTarget = std::uniform_real_distribution<double>(0.0, 1.0)(m_random) < divided->second.share;
+        othersMayReplace = versions.wantsTarget || divided->second.targetMayReplaceOthers;
+    }
+    const candidates wanted = cheapest(found->second, excluded, versions, usualLatency, now);
+    candidates others;
+    if (!wanted.best && othersMayReplace) {
+        versions.wantsTarget = !versions.wantsTarget;
+        others = cheapest(found->second, excluded, versions, usualLatency, now);
+    }
+    server *best = wanted.best ? wanted.best : others.best;
     if (!best && suspended == suspended_servers::avoided) {
-        best = bestSuspended;
+        best = wanted.bestSuspended ? wanted.bestSuspended : others.bestSuspended;
     }
     if (!best) {
         return std::nullopt;
@@ -270,6 +286,22 @@
     return backend_choice{best->entry.id, best->entry.address};
 }
 
+bool backend_table::isCold(const backend_server_id &id, time_point now) const
+{
+    const auto known = m_servers.find(id);
+    return known != m_servers.end() && now < known->second.coldUntil;
+}
+
+std::size_t backend_table::usableServers(const service_id &service, const version_id &version) const
+{
+    const auto found = m_byService.find(service);
+    if (found == m_byService.end()) {
+        return 0;
+    }
+    return static_cast<std::size_t>(std::count_if(
+        found->second.begin(), found->second.end(), [&](const server *candidate) { return usable(*candidate) && candidate->entry.version == version; }));
+}
+
 bool backend_table::hasServer(const service_id &service, time_point now) const
 {
     const auto found = m_byService.find(service);
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -14,6 +14,7 @@
 #include "policy/backend_entry.h"
 #include "policy/backend_health.h"
 #include "policy/service_rules.h"
+#include "policy/version_share.h"
 
 namespace snipefall {
 
@@ -56,8 +57,9 @@
     void setServiceRules(const std::map<service_id, service_rules> &rules, double warmUpOverrun, double warmUpSlack);
     /** Nodes that may send to the servers; connections and warm-up requests are shared among them. */
     void setNodeCount(std::size_t nodes) { m_nodes = nodes == 0 ? 1 : nodes; }
-    /** Versions that get no requests, by service. */
-    void setHeldBackVersions(std::map<service_id, version_id> versions) { m_heldBackVersions = std::move(versions); }
+    /** Services whose requests are divided between versions. */
+    void setVersionShares(std::map<service_id, version_share> shares) { m_versionShares = std::move(shares); }
+    const std::map<service_id, version_share> &versionShares() const { return m_versionShares; }
 
     /**
      * The server of @p service from which an answer is to be expected soonest, without those in @p excluded; nothing if there is none.
@@ -78,6 +80,10 @@
     /** Most connections that this node may hold to a server of the service. */
     std::size_t connectionShare(const service_id &service) const;
     const backend_entry *find(const backend_server_id &id) const;
+    /** True while the server is slow after its start. */
+    bool isCold(const backend_server_id &id, time_point now) const;
+    /** Servers of a version that may get requests. */
+    std::size_t usableServers(const service_id &service, const version_id &version) const;
     std::size_t size() const { return m_servers.size(); }
     /** Servers that may get requests, by failure domain. */
     std::map<failure_domain_id, std::size_t> usableByDomain() const;
@@ -100,9 +106,25 @@
         time_point at{};
     };
 
+    /** Which servers of a service are looked at. */
+    struct version_filter
+    {
+        const version_id *target = nullptr; ///< Null: all servers.
+        bool wantsTarget = false; ///< Otherwise those of other versions.
+    };
+    struct candidates
+    {
+        server *best = nullptr;
+        server *bestSuspended = nullptr;
+    };
+
     bool usable(const server &candidate) const;
     bool warmUpAllows(const server &candidate, time_point now) const;
-    bool versionAllows(const server &candidate) const;
+    candidates cheapest(const std::vector<server *> &servers,
+                        const std::vector<backend_server_id> &excluded,
+                        const version_filter &versions,
+                        duration usualLatency,
+                        time_point now);
     void countWarmUp(server &chosen, time_point now);
     void erase(const backend_server_id &id, time_point now);
     bool staleReport(const backend_entry &entry) const;
@@ -115,7 +137,7 @@
     std::map<backend_server_id, departed> m_departed;
     std::set<failure_domain_id> m_excludedDomains;
     std::map<service_id, service_rules> m_rules;
-    std::map<service_id, version_id> m_heldBackVersions;
+    std::map<service_id, version_share> m_versionShares;
     double m_warmUpOverrun = 1.0;
     double m_warmUpSlack = 0.0;
     std::size_t m_nodes = 1;
--- a/policy/fact_kind.h
+++ b/policy/fact_kind.h
@@ -16,6 +16,7 @@
     draining_node = 6,
     configuration = 7, ///< A configuration version was committed; the payload is its number.
     node_capacity = 8, ///< The payload is the node's share of processor cores in thousandths.
+    move_counts = 9, ///< What a node saw of a move on one route; see encodeObservations().
 };
 
 } // namespace snipefall
--- a/node/move_messages.cpp
+++ b/policy/move_messages.cpp
@@ -1,4 +1,4 @@
-#include "node/move_messages.h"
+#include "policy/move_messages.h"
 
 #include <algorithm>
 
--- a/tests/node/test_parser_properties.cpp
+++ b/tests/node/test_parser_properties.cpp
@@ -1,9 +1,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include "node/configuration_messages.h"
-#include "node/move_messages.h"
 #include "node/status_parser.h"
 #include "node/sub_answer_parser.h"
+#include "policy/move_messages.h"
 #include "tests/parser_properties.h"
 
 using namespace snipefall;
--- a/tests/node/test_move_messages.cpp
+++ b/tests/policy/test_move_messages.cpp
@@ -1,6 +1,6 @@
 #include <boost/test/unit_test.hpp>
 
-#include "node/move_messages.h"
+#include "policy/move_messages.h"
 
 using namespace snipefall;
 
--- a/tests/stand_ins/site_backend.h
+++ b/tests/stand_ins/site_backend.h
@@ -24,6 +24,7 @@
         std::string id;
         std::string service;
         std::string domain;
+        std::string version = "v1";
         unsigned slots = 2;
         std::size_t queue = 12;
         std::chrono::milliseconds work{5};
--- a/tests/stand_ins/site_store.h
+++ b/tests/stand_ins/site_store.h
@@ -57,6 +57,7 @@
     void serve(const std::shared_ptr<http_exchange> &exchange);
     void list(const std::string &kind, const std::string &after, http_exchange &exchange) const;
     void write(const std::string &kind, const std::string &name, http_exchange &exchange);
+    void putStatus(const std::string &kind, const std::string &name, json status);
     void record(const std::string &kind, const json &object, bool deleted);
     bool answerWatch(const watch &waiting);
     void answerWatches();
--- /dev/null
+++ b/tier/move_driver.cpp
@@ -0,0 +1,300 @@
+#include "tier/move_driver.h"
+
+#include <algorithm>
+#include <set>
+
+#include <fmt/format.h>
+
+#include "core/logger.h"
+#include "platform/site_decoder.h"
+#include "platform/store_client.h"
+#include "platform/wire_names.h"
+#include "policy/move_messages.h"
+#include "policy/sub_answer_sample.h"
+#include "tier/loop_clock.h"
+#include "tier/tier_blackboard.h"
+
+namespace snipefall {
+
+namespace {
+
+/** How often a node tells the others what it counted; far below the time in which a fault has to be found. */
+constexpr duration COUNTS_INTERVAL = std::chrono::seconds(1);
+/** Counts of a node that is gone are used for this time. */
+constexpr duration COUNTS_LIFETIME = std::chrono::seconds(60);
+constexpr duration FAULT_LIFETIME = std::chrono::hours(1);
+/** A node gives each of those before it this time, in which their write and the store's news of it arrive; bounded so that the last one still is in time. */
+constexpr duration RANK_DELAY = std::chrono::milliseconds(300);
+constexpr std::size_t LARGEST_RANK = 4;
+/** After a write that failed or had no answer, the store's news may tell that it was done. */
+constexpr duration WRITE_PAUSE = std::chrono::milliseconds(400);
+/** Counts are only comparable within a phase; they travel with these shares. */
+constexpr std::uint32_t CANARY_COUNTS_PERCENT = 1;
+constexpr std::uint32_t FULL_COUNTS_PERCENT = 100;
+
+move_record recordOf(const version_move &order)
+{
+    move_record record;
+    record.moveId = order.moveId;
+    record.service = order.service;
+    record.to = order.target;
+    record.sharePercent = CANARY_COUNTS_PERCENT;
+    return record;
+}
+
+bool isOver(const version_move &order)
+{
+    return order.recorded == move_outcome::done || order.recorded == move_outcome::rolled_back;
+}
+
+} // namespace
+
+move_driver::running_move::running_move(const version_move &ordered, const canary_limits &limits, time_point seenAt)
+    : order(ordered)
+    , course(seenAt, ordered.timeLimit, limits)
+    , detector(recordOf(ordered))
+{
+}
+
+move_driver::move_driver(store_client &store, tier_blackboard &board, node_id self)
+    : m_store(store)
+    , m_board(board)
+    , m_self(std::move(self))
+{
+}
+
+void move_driver::replaceAll(const std::vector<version_move> &moves)
+{
+    std::set<std::string> listed;
+    for (const version_move &move : moves) {
+        listed.insert(move.name);
+    }
+    std::erase_if(m_moves, [&listed](const auto &item) { return !listed.contains(item.second->order.name); });
+    for (const version_move &move : moves) {
+        apply(move);
+    }
+    publishShares(now());
+}
+
+void move_driver::apply(const version_move &move)
+{
+    std::unique_ptr<running_move> &known = m_moves[move.service];
+    if (known && known->order.moveId == move.moveId) {
+        if (move.revision < known->order.revision) {
+            return;
+        }
+        known->order = move;
+    } else {
+        known = std::make_unique<running_move>(move, m_limits, now());
+    }
+    logInfo("move.seen",
+            {{"service", move.service.str()},
+             {"target", move.target.str()},
+             {"move", move.moveId},
+             {"recorded", move.recorded ? std::string(toString(*move.recorded)) : "nothing"},
+             {"time_limit_ms", std::to_string(move.timeLimit / std::chrono::milliseconds(1))},
+             {"revision", std::to_string(move.revision.value())}});
+    publishShares(now());
+}
+
+void move_driver::remove(const std::string &name)
+{
+    std::erase_if(m_moves, [&name](const auto &item) { return item.second->order.name == name; });
+    logInfo("move.removed", {{"name", name}});
+    publishShares(now());
+}
+
+void move_driver::record(const service_id &service, const version_id &version, sub_answer_sample sample)
+{
+    const auto found = m_moves.find(service);
+    if (found == m_moves.end() || isOver(found->second->order)) {
+        return;
+    }
+    sample.newVersion = version == found->second->order.target;
+    found->second->detector.record(sample);
+}
+
+void move_driver::learn(const fact &news)
+{
+    const outcome<bad_version_fact> found = decodeBadVersion(news.payload);
+    if (!found) {
+        logWarning("peers.fact_malformed", {{"key", news.key}, {"origin", news.origin.str()}});
+        return;
+    }
+    const auto known = m_moves.find(found->service);
+    if (known == m_moves.end() || known->second->order.moveId != found->moveId || !known->second->fault.empty()) {
+        return; // A fact that comes before its order is found again by run().
+    }
+    known->second->fault = found->reason;
+    logWarning("move.target_stopped",
+               {{"service", found->service.str()}, {"target", found->version.str()}, {"reason", found->reason}, {"origin", news.origin.str()}});
+    publishShares(now());
+}
+
+void move_driver::runDue(time_point now)
+{
+    for (auto &[service, move] : m_moves) {
+        if (!isOver(move->order)) {
+            run(*move, now);
+        }
+    }
+    publishShares(now);
+}
+
+std::size_t move_driver::running() const
+{
+    return static_cast<std::size_t>(std::count_if(m_moves.begin(), m_moves.end(), [](const auto &item) { return !isOver(item.second->order); }));
+}
+
+void move_driver::run(running_move &move, time_point now)
+{
+    const bool full = move.course.phaseAt(now) != canary_move::phase::canary;
+    move.detector.setShare(full ? FULL_COUNTS_PERCENT : CANARY_COUNTS_PERCENT);
+    if (move.fault.empty()) {
+        for (const fact &news : m_peers.facts(fact_kind::bad_version)) {
+            learn(news);
+        }
+    }
+    if (const std::optional<bad_version_fact> &found = move.detector.check(now); found && move.fault.empty()) {
+        stopTarget(move, found->reason);
+    }
+    tellCounts(move, now);
+    canary_move::decision decision = move.course.decide(countsOfAllNodes(move, now), m_board.servers.usableServers(move.order.service, move.order.target), now);
+    if (decision.targetAtFault && move.fault.empty()) {
+        stopTarget(move, decision.reason);
+    }
+    if (!move.fault.empty()) {
+        decision = {move_action::roll_back, true, move.fault};
+    }
+    if (decision.action == move_action::roll_back) {
+        write(move, move_outcome::rolled_back, decision.reason, now);
+    } else if (decision.action == move_action::finish) {
+        write(move, move_outcome::done, decision.reason, now);
+    } else if (!move.order.recorded) {
+        write(move, move_outcome::running, decision.reason, now);
+    } else {
+        move.dueSince = time_point{};
+    }
+}
+
+void move_driver::tellCounts(running_move &move, time_point now)
+{
+    if (now - move.countsToldAt < COUNTS_INTERVAL) {
+        return;
+    }
+    move.countsToldAt = now;
+    const move_observations own = move.detector.observations(now);
+    for (const auto &[route, counts] : own.step) {
+        if (counts.newVersion.answers == 0) {
+            continue;
+        }
+        fact news;
+        news.kind = fact_kind::move_counts;
+        news.key = fmt::format("move/{}/{}/{}", move.order.service.str(), route, m_self.str());
+        news.payload = encodeObservations({own.moveId, own.sharePercent, {{route, counts}}, {}});
+        news.lifetime = COUNTS_LIFETIME;
+        m_peers.publish(std::move(news));
+    }
+}
+
+move_observations move_driver::countsOfAllNodes(const running_move &move, time_point now) const
+{
+    move_observations sum = move.detector.observations(now);
+    const std::string prefix = fmt::format("move/{}/", move.order.service.str());
+    for (const fact &news : m_peers.facts(fact_kind::move_counts)) {
+        if (news.origin == m_self || news.key.rfind(prefix, 0) != 0) {
+            continue;
+        }
+        const outcome<move_observations> counted = decodeObservations(news.payload);
+        if (!counted) {
+            logWarning("peers.fact_malformed", {{"key", news.key}, {"origin", news.origin.str()}});
+            continue;
+        }
+        sum.merge(*counted);
+    }
+    return sum;
+}
+
+void move_driver::stopTarget(running_move &move, const std::string &reason)
+{
+    move.fault = reason;
+    logWarning("move.target_stopped",
+               {{"service", move.order.service.str()}, {"target", move.order.target.str()}, {"reason", reason}, {"origin", m_self.str()}});
+    fact news;
+    news.kind = fact_kind::bad_version;
+    news.key = fmt::format("bad_version/{}", move.order.moveId);
+    news.payload = encodeBadVersion({move.order.service, move.order.target, move.order.moveId, reason});
+    news.lifetime = FAULT_LIFETIME;
+    m_peers.publish(std::move(news));
+    publishShares(now());
+}
+
+void move_driver::write(running_move &move, move_outcome recorded, const std::string &reason, time_point now)
+{
+    if (move.dueSince == time_point{}) {
+        move.dueSince = now;
+    }
+    const duration wait = RANK_DELAY * std::min(m_peers.rank(), LARGEST_RANK);
+    if (move.writing || now - move.dueSince < wait || now - move.writtenAt < WRITE_PAUSE) {
+        return;
+    }
+    move.writing = true;
+    move.writtenAt = now;
+    const version_move order = move.order;
+    m_store.replaceStatus(wire::MOVES_KIND,
+                          order.name,
+                          encodeMoveStatus(order, recorded),
+                          order.revision,
+                          [this, order, recorded, reason](const outcome<object_version> &written) {
+                              logInfo("move.recorded",
+                                      {{"service", order.service.str()},
+                                       {"target", order.target.str()},
+                                       {"state", std::string(toString(recorded))},
+                                       {"reason", reason},
+                                       {"revision", std::to_string(order.revision.value())},
+                                       {"result", written ? "written" : written.reason().message}});
+                              const auto known = m_moves.find(order.service);
+                              if (known == m_moves.end() || known->second->order.moveId != order.moveId) {
+                                  return;
+                              }
+                              running_move &current = *known->second;
+                              current.writing = false;
+                              current.dueSince = time_point{};
+                              if (written && *written > current.order.revision) {
+                                  current.order.revision = *written;
+                                  current.order.recorded = recorded;
+                              }
+                          });
+}
+
+version_share move_driver::shareOf(const running_move &move, time_point now) const
+{
+    version_share share{move.order.target, 0, false};
+    if (move.order.recorded == move_outcome::done) {
+        return {move.order.target, 1, true};
+    }
+    if (move.order.recorded == move_outcome::rolled_back || !move.fault.empty()) {
+        return share;
+    }
+    const move_observations counted = move.detector.observations(now);
+    const auto all = counted.step.find(ALL_ROUTES);
+    const std::uint64_t own = all == counted.step.end() ? 0 : all->second.oldVersion.answers + all->second.newVersion.answers;
+    share.share = move.course.shareAt(own, now);
+    // Without a record at the time limit the end is unknown: the servers of the old version may have stopped.
+    const canary_move::phase phase = move.course.phaseAt(now);
+    share.targetMayReplaceOthers = phase != canary_move::phase::canary;
+    return share;
+}
+
+void move_driver::publishShares(time_point now)
+{
+    std::map<service_id, version_share> shares;
+    for (const auto &[service, move] : m_moves) {
+        shares[service] = shareOf(*move, now);
+    }
+    if (shares != m_board.servers.versionShares()) {
+        m_board.servers.setVersionShares(std::move(shares));
+    }
+}
+
+} // namespace snipefall
--- a/tier/peer_link.cpp
+++ b/tier/peer_link.cpp
@@ -160,6 +160,19 @@
     return static_cast<std::size_t>(recent) + 1;
 }
 
+std::vector<fact> peer_link::facts(fact_kind kind) const
+{
+    std::vector<fact> found = m_engine.facts().all(now());
+    std::erase_if(found, [kind](const fact &item) { return item.kind != kind; });
+    return found;
+}
+
+std::size_t peer_link::rank() const
+{
+    const auto &live = m_engine.nodes().others().live();
+    return static_cast<std::size_t>(std::count_if(live.begin(), live.end(), [this](const node_id &id) { return id < m_self.id; }));
+}
+
 void peer_link::receive()
 {
     m_socket.async_receive_from(boost::asio::buffer(m_buffer), m_sender, [this](const boost::system::error_code &error, std::size_t size) {
--- a/tier/peer_link.h
+++ b/tier/peer_link.h
@@ -40,6 +40,10 @@
     void setNewestChange(object_version revision) { m_engine.setConfigVersion(config_version(revision.value())); }
     /** Tells all nodes something; see fact_table. */
     void publish(fact item);
+    /** All facts of a kind that hold, this node's included. */
+    std::vector<fact> facts(fact_kind kind) const;
+    /** The number of live nodes whose ids come before this node's. */
+    std::size_t rank() const;
     /** Called with what peers published. */
     void onFact(std::function<void(const fact &)> handler) { m_onFact = std::move(handler); }
     /** Called when a peer knows a newer change. */
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -8,8 +8,10 @@
 #include "platform/caller_messages.h"
 #include "platform/sub_answer_reader.h"
 #include "policy/record_merge.h"
+#include "policy/sub_answer_sample.h"
 #include "tier/crash_controller.h"
 #include "tier/loop_clock.h"
+#include "tier/move_driver.h"
 #include "tier/tier_blackboard.h"
 #include "tier/tier_metrics.h"
 
@@ -122,6 +124,7 @@
     if (outcome == try_outcome::answered || outcome == try_outcome::timed_out) {
         m_environment.board.latencies.record(m_route.name, latency, at);
     }
+    reportToMoves(ended, result.reused, latency, at);
     m_environment.metrics.subRequestEnded(toString(outcome), ended.repeated, latency);
     if (outcome == try_outcome::wrong_server) {
         m_environment.board.servers.noteReplaced(ended.server.id);
@@ -150,6 +153,23 @@
     apply(m_execution.subRequestEnded(id, outcome, at));
 }
 
+void request_runner::reportToMoves(const sub_request &ended, bool reused, duration latency, time_point at)
+{
+    const backend_entry *entry = m_environment.board.servers.find(ended.server.id);
+    const bool reached = ended.outcome != try_outcome::not_run && ended.outcome != try_outcome::wrong_server && ended.outcome != try_outcome::unreachable;
+    if (!entry || !reached || !m_environment.moves.watches(entry->service)) {
+        return;
+    }
+    sub_answer_sample sample;
+    sample.route = m_route.name;
+    sample.failed = ended.outcome != try_outcome::answered;
+    // The set-up of a connection counts to the latency of its first answer.
+    sample.warm = reused && !m_environment.board.servers.isCold(ended.server.id, at);
+    sample.latency = latency;
+    sample.at = at;
+    m_environment.moves.record(entry->service, entry->version, std::move(sample));
+}
+
 void request_runner::armTimer(time_point at)
 {
     m_timer.expires_at(at);
--- a/tier/request_runner.h
+++ b/tier/request_runner.h
@@ -20,6 +20,7 @@
 
 struct tier_blackboard;
 class crash_controller;
+class move_driver;
 class tier_metrics;
 
 /** Runs one request of a caller: sends what its execution decides and answers the caller. */
@@ -34,6 +35,7 @@
         tier_blackboard &board;
         tier_metrics &metrics;
         crash_controller &crashes;
+        move_driver &moves;
     };
 
     /** @p routes is the configuration in force, to which the route belongs; the request keeps it to its end. */
@@ -65,6 +67,7 @@
     void apply(const execution_step &step);
     void send(const sub_request_send &order);
     void subRequestEnded(std::size_t id, client_result result);
+    void reportToMoves(const sub_request &ended, bool reused, duration latency, time_point at);
     void armTimer(time_point at);
     void finish(const execution_result &result);
     http_response_message answerOf(const execution_result &result) const;
--- a/tier/site_controller.cpp
+++ b/tier/site_controller.cpp
@@ -6,6 +6,7 @@
 #include "platform/site_decoder.h"
 #include "platform/wire_names.h"
 #include "tier/loop_clock.h"
+#include "tier/move_driver.h"
 #include "tier/tier_blackboard.h"
 
 namespace snipefall {
@@ -17,8 +18,9 @@
 
 } // namespace
 
-site_controller::site_controller(boost::asio::io_context &loop, store_client &store, tier_blackboard &board, const boot_settings &settings)
+site_controller::site_controller(boost::asio::io_context &loop, store_client &store, tier_blackboard &board, move_driver &moves, const boot_settings &settings)
     : m_board(board)
+    , m_moveDriver(moves)
     , m_configuration(loop,
                       store,
                       m_search,
@@ -83,17 +85,22 @@
               m_search,
               wire::MOVES_KIND,
               {[this](const object_listing &listing) {
-                   m_movesInProgress.clear();
+                   std::vector<version_move> orders;
                    for (const stored_object &object : listing.objects) {
-                       applyMove(object, false);
+                       if (outcome<version_move> order = readMove(object)) {
+                           orders.push_back(std::move(order).value());
+                       }
                    }
-                   m_board.servers.setHeldBackVersions(m_movesInProgress);
+                   m_moveDriver.replaceAll(orders);
                },
                [this](const object_changes &changes) {
                    for (const object_change &change : changes.changes) {
-                       applyMove(change.object, change.deleted);
+                       if (change.deleted) {
+                           m_moveDriver.remove(change.object.name);
+                       } else if (const outcome<version_move> order = readMove(change.object)) {
+                           m_moveDriver.apply(*order);
+                       }
                    }
-                   m_board.servers.setHeldBackVersions(m_movesInProgress);
                },
                [](bool) {}})
 {
@@ -251,24 +258,13 @@
     }
 }
 
-void site_controller::applyMove(const stored_object &object, bool deleted)
+outcome<version_move> site_controller::readMove(const stored_object &object)
 {
-    const outcome<version_move> move = decodeMove(object);
-    if (!move) {
-        logWarning("move.unreadable", {{"revision", std::to_string(object.revision.value())}, {"reason", move.reason().message}});
-        return;
-    }
-    if (deleted || move->ended) {
-        m_movesInProgress.erase(move->service);
-    } else {
-        // Moves are not carried out on the platform yet; until then a version that may be bad gets nothing.
-        m_movesInProgress[move->service] = move->target;
+    outcome<version_move> order = decodeMove(object);
+    if (!order) {
+        logWarning("move.unreadable", {{"revision", std::to_string(object.revision.value())}, {"reason", order.reason().message}});
     }
-    logInfo("move.seen",
-            {{"service", move->service.str()},
-             {"target", move->target.str()},
-             {"in_progress", m_movesInProgress.contains(move->service) ? "yes" : "no"},
-             {"revision", std::to_string(object.revision.value())}});
+    return order;
 }
 
 void site_controller::publishExcludedDomains()
--- a/tier/site_controller.h
+++ b/tier/site_controller.h
@@ -14,12 +14,14 @@
 
 struct site_configuration;
 struct tier_blackboard;
+struct version_move;
+class move_driver;
 
-/** Keeps the blackboard's picture of the site: the configuration, the backend servers and the failure domains that are taken out. */
+/** Keeps the blackboard's picture of the site: the configuration, the backend servers and the failure domains that are taken out; passes orders of moves on. */
 class site_controller
 {
 public:
-    site_controller(boost::asio::io_context &loop, store_client &store, tier_blackboard &board, const boot_settings &settings);
+    site_controller(boost::asio::io_context &loop, store_client &store, tier_blackboard &board, move_driver &moves, const boot_settings &settings);
 
     /** In the first start of the whole system a list that is a little old will do. */
     void start(bool firstStart);
@@ -42,18 +44,18 @@
     void applyBackend(const stored_object &object);
     void applyBackends(const object_listing &listing);
     void applyExcludedDomain(const std::string &name, bool excluded);
-    void applyMove(const stored_object &object, bool deleted);
+    static outcome<version_move> readMove(const stored_object &object);
     void publishExcludedDomains();
     void publishServiceRules();
 
     tier_blackboard &m_board;
+    move_driver &m_moveDriver;
     store_search m_search;
     object_follower m_configuration;
     object_follower m_backends;
     object_follower m_domains;
     object_follower m_moves;
     std::set<failure_domain_id> m_excludedDomains;
-    std::map<service_id, version_id> m_movesInProgress; ///< The target version by service.
     object_version m_peersNewest; ///< The newest change that a peer knows.
     std::optional<time_point> m_behindSince; ///< Since when a peer has known more than this node.
     double m_warmUpOverrun = 1;
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -62,9 +62,10 @@
     , m_board(m_boot.domain, m_seed)
     , m_store(m_loop, m_boot.storeAddress)
     , m_client(m_loop, async_client_options())
-    , m_site(m_loop, m_store, m_board, m_boot)
+    , m_moves(m_store, m_board, m_boot.node)
+    , m_site(m_loop, m_store, m_board, m_moves, m_boot)
     , m_crashes(m_client, m_board)
-    , m_callers({m_loop, m_client, m_board, m_metrics, m_crashes}, m_settings, m_seed + 1)
+    , m_callers({m_loop, m_client, m_board, m_metrics, m_crashes, m_moves}, m_settings, m_seed + 1)
     , m_callerServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { m_callers.handle(exchange); })
     , m_readyServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { answerReady(*exchange); })
     , m_directoryServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { answerDirectory(*exchange); })
@@ -97,6 +98,8 @@
     m_site.onConfiguration([this](const site_configuration &configuration) { applyConfiguration(configuration); });
     m_peers.onPeerAhead([this](object_version newest) { m_site.peerKnows(newest); });
     m_peers.onFact([this](const fact &news) { takeFact(news); });
+    m_moves.setPeers(
+        {[this](fact news) { m_peers.publish(std::move(news)); }, [this](fact_kind kind) { return m_peers.facts(kind); }, [this] { return m_peers.rank(); }});
     m_crashes.onNews([this](fact news) { m_peers.publish(std::move(news)); });
     applyBoot();
     m_site.start(m_boot.firstStart);
@@ -169,6 +172,7 @@
     m_metrics.setGauge("caller_connections", static_cast<double>(m_callerServer.openConnections()));
     m_metrics.setGauge("running_requests", static_cast<double>(m_callers.running()));
     m_metrics.setGauge("refused_crashing_requests", static_cast<double>(m_crashes.refusedRequests()));
+    m_metrics.setGauge("running_moves", static_cast<double>(m_moves.running()));
     m_metrics.setGauge("store_calls", static_cast<double>(m_store.calls()));
     m_metrics.setGauge("backend_connections_opened", static_cast<double>(m_client.connectionsOpened()));
     http_response_message answer = ownAnswer(200, request_id(), "", duration::zero());
@@ -193,6 +197,8 @@
 {
     if (news.kind == fact_kind::suspected_request) {
         m_crashes.learn(news);
+    } else if (news.kind == fact_kind::bad_version) {
+        m_moves.learn(news);
     }
 }
 
@@ -207,6 +213,7 @@
     const bool joining = now() - m_startedAt < JOIN_TIME;
     const std::size_t nodes = std::max(m_peers.nodeCount(), joining ? m_registeredNodes : 0);
     m_board.servers.setNodeCount(nodes);
+    m_moves.setLimits({m_boot.canary.share, m_boot.canary.slack / static_cast<double>(nodes)});
     m_board.budget.setLimits({m_boot.retryRatio, m_boot.retrySlack, m_boot.retryWindow}, nodes);
 }
 
@@ -272,6 +279,7 @@
     }
     m_site.runDue();
     m_crashes.tick(now());
+    m_moves.runDue(now());
     m_peers.setNewestChange(m_site.newestChange());
     reloadIfChanged();
     shareLimits();
--- a/tier/tier_process.h
+++ b/tier/tier_process.h
@@ -15,6 +15,7 @@
 #include "platform/store_client.h"
 #include "tier/caller_service.h"
 #include "tier/crash_controller.h"
+#include "tier/move_driver.h"
 #include "tier/node_register.h"
 #include "tier/peer_link.h"
 #include "tier/site_controller.h"
@@ -65,6 +66,7 @@
     tier_blackboard m_board;
     store_client m_store;
     async_http_client m_client;
+    move_driver m_moves;
     site_controller m_site;
     crash_controller m_crashes;
     caller_service m_callers;
