Hold a query back for three hedge delays while its canary runs

A first sub-request that shows its crash only after the hedge delay let the query go to the servers of all shards, and the canary itself could be sent three times. Price: a query that was not seen to succeed waits up to three hedge delays instead of one if both its canary and the canary's hedge are slow.

--- a/policy/query_execution.cpp
+++ b/policy/query_execution.cpp
@@ -20,6 +20,13 @@
 /** Before a server that failed is tried a second time. */
 constexpr duration RETRY_BACKOFF = std::chrono::milliseconds(10);
 
+/**
+ * The other shards wait this many hedge delays for a canary. Its hedge is sent after one and usually releases them; a crash that shows late on a busy
+ * machine must not meet all servers.
+ */
+constexpr int CANARY_HOLD_DELAYS = 3;
+/** A canary and one hedge. */
+constexpr std::uint8_t CANARY_IN_FLIGHT = 2;
 /** A shorter delay would make the driver tick without rest. */
 constexpr duration MIN_HEDGE_DELAY = std::chrono::milliseconds(1);
 
@@ -297,6 +304,10 @@
         attemptWithoutCandidate(shard, now, out);
         return;
     }
+    if (m_canaryRuns && shard == m_canaryShard && progress.inFlight >= CANARY_IN_FLIGHT && now < m_canaryUntil) {
+        setDue(progress, m_canaryUntil);
+        return;
+    }
     const bool extra = progress.firstSent;
     if (extra && !m_budget.tryAcquire(now)) {
         setDue(progress, now + BUDGET_RETRY_DELAY);
@@ -341,8 +352,9 @@
         m_uncountedFirsts += 1;
     }
     setDue(progress, now + m_options.hedges.delay);
-    if (m_canaryRuns && shard == m_canaryShard) {
-        holdForCanary(now + m_options.hedges.delay);
+    if (m_canaryRuns && shard == m_canaryShard && !extra) {
+        m_canaryUntil = now + CANARY_HOLD_DELAYS * m_options.hedges.delay;
+        holdForCanary(m_canaryUntil);
     }
     out.sends.push_back({idOf(position), shard_index(shard), m_plan->shards[shard].candidates[candidate], m_deadline, extra});
 }
--- a/policy/query_execution.h
+++ b/policy/query_execution.h
@@ -116,6 +116,7 @@
     bool m_held = true; ///< Hedges are held back.
     bool m_restartWanted = false;
     bool m_canaryRuns = false;
+    time_point m_canaryUntil; ///< The other shards wait for the canary until then.
     std::uint32_t m_canaryShard = 0;
 };
 
--- a/policy/query_options.h
+++ b/policy/query_options.h
@@ -21,8 +21,8 @@
     std::uint32_t restartsLeft = 2; ///< How often the query may still start again on a newer snapshot.
     bool restarted = false; ///< The sub-requests of a restart earn no tokens.
     /**
-     * Sends one sub-request and waits for its end, at most for the hedge delay, before the others ("canary request", Dean and Barroso, 2013): a
-     * request that crashes the servers that run it then meets one of them only.
+     * Sends one sub-request and waits for its end, at most for a few hedge delays, before the others ("canary request", Dean and Barroso, 2013): a
+     * request that crashes the servers that run it then meets one of them, or two if the crash shows only after the hedge was sent.
      */
     bool canary = false;
     hedge_settings hedges;
--- a/tests/policy/test_query_execution.cpp
+++ b/tests/policy/test_query_execution.cpp
@@ -272,4 +272,37 @@
     BOOST_TEST((empty.actions.finish->status == query_status::complete));
 }
 
+// Guards against a request that crashes all servers because its first sub-request shows the crash only after the hedge delay, as on a busy machine.
+BOOST_AUTO_TEST_CASE(aLateCanaryMeetsTwoServersAtMost)
+{
+    query_options options;
+    options.canary = true;
+    fixture query(12, 3, options);
+    query_execution &execution = query.start();
+    BOOST_REQUIRE(query.actions.sends.size() == 1U);
+    execution.tick(START + HEDGE_DELAY, query.actions);
+    execution.tick(START + 2 * HEDGE_DELAY, query.actions);
+    BOOST_TEST(query.actions.sends.size() == 2U);
+    for (const send_action &sent : std::vector<send_action>(query.actions.sends)) {
+        BOOST_TEST(sent.shard.value() == 0U);
+        execution.subFailure(sent.sub, shard_failure::closed, START + 2 * HEDGE_DELAY, query.actions);
+    }
+    query.runOut();
+    BOOST_TEST(query.actions.sends.size() == 2U);
+}
+
+// Guards against queries that wait too long for the server of a canary: the hedge's answer releases them.
+BOOST_AUTO_TEST_CASE(theHedgeOfACanaryReleasesTheOthers)
+{
+    query_options options;
+    options.canary = true;
+    fixture query(12, 3, options);
+    query_execution &execution = query.start();
+    execution.tick(START + HEDGE_DELAY, query.actions);
+    BOOST_REQUIRE(query.actions.sends.size() == 2U);
+    query.answer(query.actions.sends.back(), START + HEDGE_DELAY + milliseconds(3));
+    execution.tick(START + HEDGE_DELAY + milliseconds(3), query.actions);
+    BOOST_TEST(query.actions.sends.size() == 13U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
