Judge a move by the counts since its order, told often near its end

The counts were reset when all requests went to the target, and the nodes' counts of that phase came after the decision. Change: counts add up since the order, and nodes tell them at each run once all requests go to the target.

--- a/policy/canary_move.cpp
+++ b/policy/canary_move.cpp
@@ -25,9 +25,8 @@
 constexpr duration FINISH_MARGIN = std::chrono::milliseconds(1500);
 /** Moves that have very little time use at most this part of it for the margin. */
 constexpr int LARGEST_MARGIN_DIVISOR = 4;
-/** Probability that a good version is rolled back by chance, over both phases of a move. */
+/** Probability that a good version is rolled back by chance during the whole move. */
 constexpr double SIGNIFICANCE = 0.05;
-constexpr double PHASES = 2;
 /** At the end of a move there is no time for more answers: evidence of ln(20) is enough. */
 constexpr double FINAL_LOG_EVIDENCE = 3.0;
 
@@ -78,7 +77,7 @@
 {
     const comparison_evidence evidence = compareRoutes(observations.step);
     const auto comparisons = static_cast<double>(std::max<std::size_t>(1, observations.step.size()));
-    if (evidence.logEvidence >= std::log(TESTS_PER_ROUTE * comparisons * PHASES / SIGNIFICANCE)) {
+    if (evidence.logEvidence >= std::log(TESTS_PER_ROUTE * comparisons / SIGNIFICANCE)) {
         return {move_action::roll_back, true, evidence.finding};
     }
     switch (phaseAt(now)) {
--- a/policy/canary_move.h
+++ b/policy/canary_move.h
@@ -42,7 +42,7 @@
     phase phaseAt(time_point now) const;
     /** The target's share of this node's requests, from 0 to 1; @p answers is the number of answers of both versions that this node saw so far. */
     double shareAt(std::uint64_t answers, time_point now) const;
-    /** @p observations of all nodes in the current phase; @p targetServers is the number of live servers of the target version. */
+    /** @p observations of all nodes since the order; @p targetServers is the number of live servers of the target version. */
     decision decide(const move_observations &observations, std::size_t targetServers, time_point now) const;
 
 private:
--- a/tier/move_driver.cpp
+++ b/tier/move_driver.cpp
@@ -18,7 +18,7 @@
 
 namespace {
 
-/** How often a node tells the others what it counted; far below the time in which a fault has to be found. */
+/** How often a node tells the others what it counted; at each run once all requests go to the target, because its end is near. */
 constexpr duration COUNTS_INTERVAL = std::chrono::seconds(1);
 /** Counts of a node that is gone are used for this time. */
 constexpr duration COUNTS_LIFETIME = std::chrono::seconds(60);
@@ -28,9 +28,8 @@
 constexpr std::size_t LARGEST_RANK = 4;
 /** After a write that failed or had no answer, the store's news may tell that it was done. */
 constexpr duration WRITE_PAUSE = std::chrono::milliseconds(400);
-/** Counts are only comparable within a phase; they travel with these shares. */
-constexpr std::uint32_t CANARY_COUNTS_PERCENT = 1;
-constexpr std::uint32_t FULL_COUNTS_PERCENT = 100;
+/** Counts of nodes add up if they name the same share; those of a whole move do, whatever the share was at the moment. */
+constexpr std::uint32_t COUNTS_SHARE_PERCENT = 1;
 
 move_record recordOf(const version_move &order)
 {
@@ -38,7 +37,7 @@
     record.moveId = order.moveId;
     record.service = order.service;
     record.to = order.target;
-    record.sharePercent = CANARY_COUNTS_PERCENT;
+    record.sharePercent = COUNTS_SHARE_PERCENT;
     return record;
 }
 
@@ -148,8 +147,6 @@
 
 void move_driver::run(running_move &move, time_point now)
 {
-    const bool full = move.course.phaseAt(now) != canary_move::phase::canary;
-    move.detector.setShare(full ? FULL_COUNTS_PERCENT : CANARY_COUNTS_PERCENT);
     if (move.fault.empty()) {
         for (const fact &news : m_peers.facts(fact_kind::bad_version)) {
             learn(news);
@@ -179,7 +176,8 @@
 
 void move_driver::tellCounts(running_move &move, time_point now)
 {
-    if (now - move.countsToldAt < COUNTS_INTERVAL) {
+    const bool canary = move.course.phaseAt(now) == canary_move::phase::canary;
+    if (canary && now - move.countsToldAt < COUNTS_INTERVAL) {
         return;
     }
     move.countsToldAt = now;
