Order moves in the fault soak, and record what was measured

The soak can move orders to a good or bad version during the trouble; the move has to end, and the losing version has to get nothing after it.

--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -14,7 +14,7 @@
 
 void printUsage()
 {
-    fmt::print("soak [--seed N] [--seeds N] [--seconds N] [--nodes N] [--shards N] [--rate N]\n"
+    fmt::print("soak [--seed N] [--seeds N] [--seconds N] [--nodes N] [--shards N] [--rate N] [--move]\n"
                "  Runs nodes under load and faults with the seeds from --seed on, and prints every broken promise.\n");
 }
 
@@ -30,9 +30,10 @@
                             {"nodes", required_argument, nullptr, 'n'},
                             {"shards", required_argument, nullptr, 'h'},
                             {"rate", required_argument, nullptr, 'r'},
+                            {"move", no_argument, nullptr, 'm'},
                             {nullptr, 0, nullptr, 0}};
     for (int letter = getopt_long(argc, argv, "", known, nullptr); letter != -1; letter = getopt_long(argc, argv, "", known, nullptr)) {
-        const unsigned value = letter == '?' ? 0 : static_cast<unsigned>(std::strtoul(optarg, nullptr, 10));
+        const unsigned value = !optarg ? 0 : static_cast<unsigned>(std::strtoul(optarg, nullptr, 10));
         switch (letter) {
         case 's':
             options.seed = value;
@@ -52,6 +53,9 @@
         case 'r':
             options.requestsPerSecond = value;
             break;
+        case 'm':
+            options.move = true;
+            break;
         default:
             printUsage();
             return EXIT_USAGE;
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -60,6 +60,9 @@
         }
     }
     m_started = steady::now();
+    if (m_options.move) {
+        orderMove();
+    }
     const auto troubleEnd = m_started + m_options.trouble;
     auto nextFault = m_started + milliseconds(300);
     while (steady::now() < troubleEnd) {
@@ -74,6 +77,9 @@
     }
     endFaults(steady::now(), true);
     checkCalm();
+    if (m_options.move) {
+        checkMove();
+    }
     checkRuns();
     const std::lock_guard lock(m_mutex);
     return m_broken;
@@ -360,6 +366,64 @@
     });
 }
 
+void soak_run::orderMove()
+{
+    const bool bad = below(2) == 0;
+    for (const char *domain : {"zone-0", "zone-1"}) {
+        m_site.addServer(site_emulator::PLAIN_SERVICE, domain, "v2");
+    }
+    m_site.onLoop([&] {
+        for (site_backend *server : m_site.serversOf(site_emulator::PLAIN_SERVICE)) {
+            if (bad && server->settings().version == "v2") {
+                server->setFaults({60, 0, 0, false, milliseconds(0)});
+            }
+        }
+        const auto seconds = m_options.trouble.count();
+        m_site.store().put(
+            "rollouts", site_emulator::PLAIN_SERVICE, {{"service", site_emulator::PLAIN_SERVICE}, {"target_version", "v2"}, {"finish_by_s", seconds}});
+    });
+    note(bad ? "move to a bad version" : "move to a good version");
+}
+
+void soak_run::checkMove()
+{
+    std::string state;
+    site_emulator::waitFor([&] {
+        const json object = m_site.onLoop([&] { return m_site.store().find("rollouts", site_emulator::PLAIN_SERVICE); });
+        state = object["status"].is_object() ? object["status"].value("state", "") : "";
+        return state == "done" || state == "rolled_back";
+    });
+    if (state != "done" && state != "rolled_back") {
+        broken("the move has no end: " + state);
+        return;
+    }
+    const std::string stopped = state == "done" ? "v1" : "v2";
+    const auto arrivals = [&] {
+        return m_site.onLoop([&] {
+            std::uint64_t sum = 0;
+            for (const site_backend *server : m_site.serversOf(site_emulator::PLAIN_SERVICE)) {
+                sum += server->settings().version == stopped ? server->arrivals() : 0;
+            }
+            return sum;
+        });
+    };
+    const bool quiet = site_emulator::waitFor([&] {
+        const std::uint64_t before = arrivals();
+        for (std::size_t i = 0; i < 10 * m_names.size(); ++i) {
+            const site_caller::request request = m_site.orderRequest();
+            {
+                const std::lock_guard lock(m_mutex);
+                m_sent[request.id] = {request, m_names[i % m_names.size()], true, steady::now()};
+            }
+            m_site.call(m_site.addresses(m_names[i % m_names.size()]).callers, request);
+        }
+        return arrivals() == before;
+    });
+    if (!quiet) {
+        broken(fmt::format("version {} still gets requests after the move ended as {}", stopped, state));
+    }
+}
+
 void soak_run::checkRuns()
 {
     std::map<std::string, int> orderRuns;
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -28,6 +28,7 @@
         std::size_t nodes = 4;
         std::size_t shards = 6;
         unsigned requestsPerSecond = 60;
+        bool move = false; ///< Orders are moved to another version during the trouble.
     };
 
     explicit soak_run(const options &settings);
@@ -72,6 +73,8 @@
     void disturbStore(steady::time_point now);
     void changeSite(steady::time_point now);
     void endFaults(steady::time_point now, bool all);
+    void orderMove();
+    void checkMove();
     void checkCalm();
     void checkRuns();
     void restart(const std::string &name, bool planned);
--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -11,6 +11,7 @@
 struct soak_case
 {
     unsigned seed;
+    bool move;
     const char *cause; ///< Of its failure, if it ever failed.
 };
 
@@ -20,10 +21,12 @@
 }
 
 const soak_case SOAK_CASES[] = {
-    {1, "never failed"},
-    {2, "never failed"},
-    {13, "a watch's answer was lost with its connection left open, and the node kept the old configuration for up to 25 s"},
-    {30, "as 13, at the first node"},
+    {1, false, "never failed"},
+    {2, false, "never failed"},
+    {13, false, "a watch's answer was lost with its connection left open, and the node kept the old configuration for up to 25 s"},
+    {30, false, "as 13, at the first node"},
+    {5, true, "never failed"},
+    {6, true, "never failed"},
 };
 
 } // namespace
@@ -35,6 +38,7 @@
 {
     soak_run::options options;
     options.seed = row.seed;
+    options.move = row.move;
     options.trouble = std::chrono::seconds(6);
     soak_run soak(options);
     for (const std::string &what : soak.run()) {
