Name nodes of all failure domains when a directory answer can't name all nodes

An answer names 64 nodes at most; they were the first ones by name, and with 75 nodes in a domain all of them lay in one. The new test fails before: 64 of 64 addresses in the first domain. Change: the addresses are taken from the domains in turn.

--- a/policy/entry_choice.cpp
+++ b/policy/entry_choice.cpp
@@ -36,6 +36,25 @@
     }
 }
 
+/** The addresses, at most MAX_ENTRIES of them, evenly from all failure domains. */
+std::vector<std::string> addressesOf(const std::vector<entry_candidate> &entries)
+{
+    std::map<failure_domain_id, std::vector<std::string>> byDomain;
+    for (const entry_candidate &entry : entries) {
+        byDomain[entry.domain].push_back(entry.callerAddress);
+    }
+    std::vector<std::string> addresses;
+    const std::size_t count = std::min(entries.size(), MAX_ENTRIES);
+    for (std::size_t round = 0; addresses.size() < count; ++round) {
+        for (const auto &[domain, own] : byDomain) {
+            if (round < own.size() && addresses.size() < count) {
+                addresses.push_back(own[round]);
+            }
+        }
+    }
+    return addresses;
+}
+
 } // namespace
 
 std::vector<std::string> chooseEntries(const std::vector<entry_candidate> &candidates, const std::map<failure_domain_id, std::size_t> &serversByDomain)
@@ -54,13 +73,7 @@
         const auto found = serversByDomain.find(entry.domain);
         return found != serversByDomain.end() && static_cast<double>(found->second) >= STRONG_PART * static_cast<double>(most);
     });
-    std::vector<std::string> addresses;
-    for (const entry_candidate &entry : entries) {
-        if (addresses.size() < MAX_ENTRIES) {
-            addresses.push_back(entry.callerAddress);
-        }
-    }
-    return addresses;
+    return addressesOf(entries);
 }
 
 } // namespace snipefall
--- a/tests/policy/test_entry_choice.cpp
+++ b/tests/policy/test_entry_choice.cpp
@@ -64,4 +64,25 @@
     BOOST_TEST(chooseEntries(candidates, row.servers).size() == row.chosen);
 }
 
+// Guards against an answer whose addresses all lie in one failure domain, so that its loss leaves callers without any node, as among 300 nodes.
+BOOST_AUTO_TEST_CASE(largeAnswersNameAllDomainsEvenly)
+{
+    std::vector<entry_candidate> candidates;
+    std::map<std::string, std::string> domainOf;
+    const std::vector<node_group> groups{{"a", 0.25, 75}, {"b", 0.25, 75}, {"c", 0.25, 10}};
+    for (const node_group &group : groups) {
+        for (std::size_t i = 0; i < group.count; ++i) {
+            candidates.push_back({"10.0.0.1:" + std::to_string(candidates.size()), failure_domain_id(group.domain), group.cores});
+            domainOf[candidates.back().callerAddress] = group.domain;
+        }
+    }
+    std::map<std::string, std::size_t> named;
+    for (const std::string &address : chooseEntries(candidates, {{A, 10}, {B, 10}, {C, 10}})) {
+        ++named[domainOf[address]];
+    }
+    BOOST_TEST(named["a"] == 27U);
+    BOOST_TEST(named["b"] == 27U);
+    BOOST_TEST(named["c"] == 10U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
