--- a/tier/object_follower.cpp
+++ b/tier/object_follower.cpp
@@ -14,8 +14,8 @@
  * the watch's end is the last resort.
  */
 constexpr duration WATCH_TIME = std::chrono::seconds(10);
-/** Changes that come together are read by one call; a fifth of the tightest bound on leaving servers and new configurations, 3 s. */
-constexpr duration COALESCE_TIME = std::chrono::milliseconds(600);
+/** Changes that come together are read by one call; a new configuration must not be in force long before the servers that it names are known. */
+constexpr duration COALESCE_TIME = std::chrono::milliseconds(250);
 constexpr duration FIRST_RETRY = std::chrono::milliseconds(100);
 /** Bounds the time until a store that is back is noticed, well below the bounds on applying what it holds. */
 constexpr duration LONGEST_RETRY = std::chrono::milliseconds(800);
