--- a/node/move_manager.cpp
+++ b/node/move_manager.cpp
@@ -17,12 +17,6 @@
 
 constexpr const char *KEY_PREFIX = "moves/";
 constexpr duration EXCHANGE_TIMEOUT = std::chrono::milliseconds(500);
-constexpr duration BAD_VERSION_LIFETIME = std::chrono::hours(12);
-
-std::string factKey(const bad_version_fact &found)
-{
-    return "bad_version/" + found.service.str() + "/" + found.moveId;
-}
 
 } // namespace
 
@@ -243,7 +237,7 @@
         move->facts.push_back(found);
         move->spread = true;
     }
-    m_peers.publish(fact_kind::bad_version, factKey(found), encodeBadVersion(found), BAD_VERSION_LIFETIME);
+    m_peers.publish(badVersionNews(found));
 }
 
 void move_manager::handleFact(const fact &news)
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -109,7 +109,7 @@
     running_state &self = *m_running;
     node_parts &parts = self.parts;
     parts.stopping = true;
-    parts.peers.publish(fact_kind::draining_node, "draining/" + m_settings.id.str(), m_settings.id.str(), DRAINING_LIFETIME);
+    parts.peers.publish(makeFact(fact_kind::draining_node, "draining/" + m_settings.id.str(), m_settings.id.str(), DRAINING_LIFETIME));
     const auto ttl = std::chrono::milliseconds(parts.replica.current()->entryTtlMs);
     std::this_thread::sleep_for(ttl + m_settings.drainMargin);
     parts.callers.startDraining();
--- a/node/node_parts.cpp
+++ b/node/node_parts.cpp
@@ -151,7 +151,7 @@
     topology.onChange([this](const service_id &service) { applyTopology(service); });
     topology.onNodes([this](std::set<node_id> nodes) { peers.setListedNodes(std::move(nodes)); });
     topology.onLeaving([this](const backend_server &server) {
-        peers.publish(fact_kind::leaving_server, "leaving/" + server.id.str(), server.id.str(), LEAVING_SERVER_LIFETIME);
+        peers.publish(makeFact(fact_kind::leaving_server, "leaving/" + server.id.str(), server.id.str(), LEAVING_SERVER_LIFETIME));
     });
     permits.onGrowth([this](const service_id &service) {
         if (const auto found = topologies.find(service); found && *found) {
--- a/node/peer_controller.cpp
+++ b/node/peer_controller.cpp
@@ -173,18 +173,14 @@
 {
     m_gossip->setConfigVersion(version);
     if (committed) {
-        publish(fact_kind::configuration, CONFIGURATION_FACT_KEY, std::to_string(version.value()), CONFIGURATION_FACT_LIFETIME);
+        publish(makeFact(fact_kind::configuration, CONFIGURATION_FACT_KEY, std::to_string(version.value()), CONFIGURATION_FACT_LIFETIME));
     }
 }
 
-void peer_controller::publish(fact_kind kind, const std::string &key, const std::string &payload, duration lifetime)
+void peer_controller::publish(fact news)
 {
-    fact item;
-    item.kind = kind;
-    item.key = key;
-    item.payload = payload;
-    item.lifetime = lifetime;
-    const outcome<fact> published = m_gossip->publish(std::move(item));
+    const std::string key = news.key;
+    const outcome<fact> published = m_gossip->publish(std::move(news));
     if (!published) {
         logError("fact.not_published", {{"key", key}, {"reason", published.reason().message}});
     }
--- a/node/peer_controller.h
+++ b/node/peer_controller.h
@@ -48,7 +48,7 @@
 
     /** Tells peers of a version that this node put in force. @p committed spreads it at once, for the node that committed it. */
     void announceConfiguration(config_version version, bool committed);
-    void publish(fact_kind kind, const std::string &key, const std::string &payload, duration lifetime);
+    void publish(fact news);
 
     outcome<std::string> exchange(const node_id &recipient, peer_exchange_kind kind, std::string payload, duration timeout);
 
--- a/node/quarantine_controller.cpp
+++ b/node/quarantine_controller.cpp
@@ -33,7 +33,7 @@
         cleared = m_quarantine.ended(request, server, succeeded);
     }
     if (cleared) {
-        publish({request, std::nullopt});
+        m_peers.publish(encodeSuspicion({request, std::nullopt}));
     }
 }
 
@@ -50,7 +50,7 @@
             const char *state = standing(request) == request_standing::quarantined ? "quarantined" : "suspected";
             m_onSuspicion(fmt::format("request {:016x} is {} after the crash of server {}", request.value(), state, server.str()));
         }
-        publish({request, crash_event{server, startedMs}});
+        m_peers.publish(encodeSuspicion({request, crash_event{server, startedMs}}));
     }
 }
 
@@ -69,12 +69,6 @@
     m_quarantine.suspect(suspicion->request, *suspicion->crash, system_clock().now());
 }
 
-void quarantine_controller::publish(const request_suspicion &suspicion)
-{
-    const fact news = encodeSuspicion(suspicion);
-    m_peers.publish(news.kind, news.key, news.payload, news.lifetime);
-}
-
 void quarantine_controller::tick()
 {
     const std::lock_guard lock(m_mutex);
--- a/node/quarantine_controller.h
+++ b/node/quarantine_controller.h
@@ -11,7 +11,6 @@
 namespace snipefall {
 
 class peer_controller;
-struct request_suspicion;
 
 /** Shares the evidence against requests that crash backend servers with all nodes. Thread-safe. */
 class quarantine_controller
@@ -33,8 +32,6 @@
     std::size_t quarantinedCount() const;
 
 private:
-    void publish(const request_suspicion &suspicion);
-
     mutable std::mutex m_mutex;
     request_quarantine m_quarantine;
     peer_controller &m_peers;
--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -21,6 +21,8 @@
 constexpr double OTHER_DOMAIN_COST = 1.4;
 /** Part of a server's connections that the nodes use together; the rest is left to nodes that this one does not know yet. */
 constexpr double CONNECTION_USE = 0.9;
+/** The share of services without a reachable server from which a node is taken to be cut off; single shards are lost without that. */
+constexpr double CUT_OFF_SHARE = 0.3;
 constexpr std::size_t FEWEST_CONNECTIONS = 2;
 /** Connections to a server whose limit is not stated. */
 constexpr std::size_t DEFAULT_CONNECTIONS = 64;
@@ -323,13 +325,10 @@
     });
 }
 
-double backend_table::unreachableShare(time_point now) const
+bool backend_table::seemsCutOff(time_point now) const
 {
-    if (m_byService.empty()) {
-        return 0;
-    }
     const auto lost = std::count_if(m_byService.begin(), m_byService.end(), [&](const auto &item) { return !hasReachableServer(item.first, now); });
-    return static_cast<double>(lost) / static_cast<double>(m_byService.size());
+    return lost > 0 && static_cast<double>(lost) >= CUT_OFF_SHARE * static_cast<double>(m_byService.size());
 }
 
 backend_health *backend_table::health(const backend_server_id &id)
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -72,8 +72,8 @@
     bool hasServer(const service_id &service, time_point now) const;
     /** True if the service has such a server that could be reached when it was last tried. */
     bool hasReachableServer(const service_id &service, time_point now) const;
-    /** The share of services without a reachable server, of all services that have servers. */
-    double unreachableShare(time_point now) const;
+    /** True if so many services have no reachable server that this node is likely to be cut off. */
+    bool seemsCutOff(time_point now) const;
 
     /** The health of a listed server; null after it was dropped. */
     backend_health *health(const backend_server_id &id);
--- a/policy/fact.h
+++ b/policy/fact.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 
 #include "core/clock.h"
 #include "core/ids.h"
@@ -21,6 +22,17 @@
     duration lifetime{0}; ///< Time left until it expires.
 };
 
+/** A fact to publish; the table of the publishing node sets its origin and sequence. */
+inline fact makeFact(fact_kind kind, std::string key, std::string payload, duration lifetime)
+{
+    fact item;
+    item.kind = kind;
+    item.key = std::move(key);
+    item.payload = std::move(payload);
+    item.lifetime = lifetime;
+    return item;
+}
+
 /** Bytes of the numbers and field headers of an encoded fact. */
 constexpr std::size_t FACT_FIXED_BYTES = 46;
 
--- a/policy/fact_table.cpp
+++ b/policy/fact_table.cpp
@@ -149,4 +149,15 @@
     return result;
 }
 
+std::vector<fact> fact_table::ofKind(time_point now, fact_kind kind) const
+{
+    std::vector<fact> result;
+    for (const auto &[key, held] : m_entries) {
+        if (held.item.kind == kind && held.expires > now) {
+            result.push_back(withTimeLeft(now, held));
+        }
+    }
+    return result;
+}
+
 } // namespace snipefall
--- a/policy/fact_table.h
+++ b/policy/fact_table.h
@@ -52,6 +52,7 @@
 
     std::optional<fact> find(time_point now, const std::string &key) const;
     std::vector<fact> all(time_point now) const;
+    std::vector<fact> ofKind(time_point now, fact_kind kind) const;
     /** Changes whenever a fact of the kind is stored, replaced or found expired by tick(). */
     std::uint64_t versionOf(fact_kind kind) const;
 
--- a/policy/move_messages.cpp
+++ b/policy/move_messages.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+constexpr duration BAD_VERSION_LIFETIME = std::chrono::hours(12);
+
 json toJson(const version_counts &counts)
 {
     return {{"answers", counts.answers}, {"errors", counts.errors}, {"latency", counts.latency.toJson()}};
@@ -93,4 +95,9 @@
                             jsonValue<std::string>(*document, "reason", "")};
 }
 
+fact badVersionNews(const bad_version_fact &found)
+{
+    return makeFact(fact_kind::bad_version, "bad_version/" + found.service.str() + "/" + found.moveId, encodeBadVersion(found), BAD_VERSION_LIFETIME);
+}
+
 } // namespace snipefall
--- a/policy/request_suspicion.cpp
+++ b/policy/request_suspicion.cpp
@@ -10,18 +10,17 @@
 fact encodeSuspicion(const request_suspicion &suspicion)
 {
     const std::uint64_t request = suspicion.request.value();
-    fact news;
-    news.kind = fact_kind::suspected_request;
-    news.lifetime = request_quarantine::RETENTION;
     if (!suspicion.crash) {
-        news.key = fmt::format("cleared/{:016x}", request);
-        news.payload = json{{"fingerprint", request}, {"cleared", true}}.dump();
-        return news;
+        return makeFact(fact_kind::suspected_request,
+                        fmt::format("cleared/{:016x}", request),
+                        json{{"fingerprint", request}, {"cleared", true}}.dump(),
+                        request_quarantine::RETENTION);
     }
     const crash_event &crash = *suspicion.crash;
-    news.key = fmt::format("suspected/{:016x}/{}/{}", request, crash.server.str(), crash.startedMs);
-    news.payload = json{{"fingerprint", request}, {"server", crash.server.str()}, {"started_ms", crash.startedMs}}.dump();
-    return news;
+    return makeFact(fact_kind::suspected_request,
+                    fmt::format("suspected/{:016x}/{}/{}", request, crash.server.str(), crash.startedMs),
+                    json{{"fingerprint", request}, {"server", crash.server.str()}, {"started_ms", crash.startedMs}}.dump(),
+                    request_quarantine::RETENTION);
 }
 
 std::optional<request_suspicion> decodeSuspicion(const fact &news)
--- a/tier/crash_controller.cpp
+++ b/tier/crash_controller.cpp
@@ -21,8 +21,6 @@
 constexpr std::size_t MAX_CHECKS = 8;
 /** A server that crashed refuses connections at once. */
 constexpr duration CHECK_TIMEOUT = std::chrono::milliseconds(500);
-/** A node that reaches the servers of fewer services than this is likely to be cut off itself. */
-constexpr double MAX_UNREACHABLE_SHARE = 0.3;
 /** Requests remembered as harmless, some 64 bytes each; a node's memory is dear. */
 constexpr std::size_t MAX_PROVEN_REQUESTS = 4096;
 
@@ -60,7 +58,7 @@
 
 void crash_controller::unanswered(request_fingerprint request, const request_id &id, const std::vector<lost_server> &servers)
 {
-    if (servers.empty() || m_quarantine.standing(request) == request_standing::proven || m_board.servers.unreachableShare(now()) >= MAX_UNREACHABLE_SHARE) {
+    if (servers.empty() || m_quarantine.standing(request) == request_standing::proven || m_board.servers.seemsCutOff(now())) {
         return;
     }
     const auto search = std::make_shared<crash_search>(crash_search{request, id});
--- a/tier/move_driver.cpp
+++ b/tier/move_driver.cpp
@@ -22,7 +22,6 @@
 constexpr duration COUNTS_INTERVAL = std::chrono::seconds(1);
 /** Counts of a node that is gone are used for this time. */
 constexpr duration COUNTS_LIFETIME = std::chrono::seconds(60);
-constexpr duration FAULT_LIFETIME = std::chrono::hours(1);
 /** A node gives each of those before it this time, in which their write and the store's news of it arrive; bounded so that the last one still is in time. */
 constexpr duration RANK_DELAY = std::chrono::milliseconds(300);
 constexpr std::size_t LARGEST_RANK = 4;
@@ -85,6 +84,10 @@
         known->order = move;
     } else {
         known = std::make_unique<running_move>(move, m_limits, now());
+        // A peer's finding may have come before the order.
+        for (const fact &news : m_peers.facts(fact_kind::bad_version)) {
+            learn(news);
+        }
     }
     logInfo("move.seen",
             {{"service", move.service.str()},
@@ -111,6 +114,7 @@
     }
     sample.newVersion = version == found->second->order.target;
     found->second->detector.record(sample);
+    ++found->second->answers;
 }
 
 void move_driver::learn(const fact &news)
@@ -122,7 +126,7 @@
     }
     const auto known = m_moves.find(found->service);
     if (known == m_moves.end() || known->second->order.moveId != found->moveId || !known->second->fault.empty()) {
-        return; // A fact that comes before its order is found again by run().
+        return; // A fact that comes before its order is looked up by apply().
     }
     known->second->fault = found->reason;
     logWarning("move.target_stopped",
@@ -147,16 +151,12 @@
 
 void move_driver::run(running_move &move, time_point now)
 {
-    if (move.fault.empty()) {
-        for (const fact &news : m_peers.facts(fact_kind::bad_version)) {
-            learn(news);
-        }
-    }
     if (const std::optional<bad_version_fact> &found = move.detector.check(now); found && move.fault.empty()) {
         stopTarget(move, found->reason);
     }
-    tellCounts(move, now);
-    canary_move::decision decision = move.course.decide(countsOfAllNodes(move, now), m_board.servers.usableServers(move.order.service, move.order.target), now);
+    const move_observations own = move.detector.observations(now);
+    tellCounts(move, own, now);
+    canary_move::decision decision = move.course.decide(countsOfAllNodes(move, own), m_board.servers.usableServers(move.order.service, move.order.target), now);
     if (decision.targetAtFault && move.fault.empty()) {
         stopTarget(move, decision.reason);
     }
@@ -174,30 +174,27 @@
     }
 }
 
-void move_driver::tellCounts(running_move &move, time_point now)
+void move_driver::tellCounts(running_move &move, const move_observations &own, time_point now)
 {
     const bool canary = move.course.phaseAt(now) == canary_move::phase::canary;
     if (canary && now - move.countsToldAt < COUNTS_INTERVAL) {
         return;
     }
     move.countsToldAt = now;
-    const move_observations own = move.detector.observations(now);
     for (const auto &[route, counts] : own.step) {
         if (counts.newVersion.answers == 0) {
             continue;
         }
-        fact news;
-        news.kind = fact_kind::move_counts;
-        news.key = fmt::format("move/{}/{}/{}", move.order.service.str(), route, m_self.str());
-        news.payload = encodeObservations({own.moveId, own.sharePercent, {{route, counts}}, {}});
-        news.lifetime = COUNTS_LIFETIME;
-        m_peers.publish(std::move(news));
+        m_peers.publish(makeFact(fact_kind::move_counts,
+                                 fmt::format("move/{}/{}/{}", move.order.service.str(), route, m_self.str()),
+                                 encodeObservations({own.moveId, own.sharePercent, {{route, counts}}, {}}),
+                                 COUNTS_LIFETIME));
     }
 }
 
-move_observations move_driver::countsOfAllNodes(const running_move &move, time_point now) const
+move_observations move_driver::countsOfAllNodes(const running_move &move, move_observations own) const
 {
-    move_observations sum = move.detector.observations(now);
+    move_observations sum = std::move(own);
     const std::string prefix = fmt::format("move/{}/", move.order.service.str());
     for (const fact &news : m_peers.facts(fact_kind::move_counts)) {
         if (news.origin == m_self || news.key.rfind(prefix, 0) != 0) {
@@ -218,12 +215,7 @@
     move.fault = reason;
     logWarning("move.target_stopped",
                {{"service", move.order.service.str()}, {"target", move.order.target.str()}, {"reason", reason}, {"origin", m_self.str()}});
-    fact news;
-    news.kind = fact_kind::bad_version;
-    news.key = fmt::format("bad_version/{}", move.order.moveId);
-    news.payload = encodeBadVersion({move.order.service, move.order.target, move.order.moveId, reason});
-    news.lifetime = FAULT_LIFETIME;
-    m_peers.publish(std::move(news));
+    m_peers.publish(badVersionNews({move.order.service, move.order.target, move.order.moveId, reason}));
     publishShares(now());
 }
 
@@ -274,10 +266,7 @@
     if (move.order.recorded == move_outcome::rolled_back || !move.fault.empty()) {
         return share;
     }
-    const move_observations counted = move.detector.observations(now);
-    const auto all = counted.step.find(ALL_ROUTES);
-    const std::uint64_t own = all == counted.step.end() ? 0 : all->second.oldVersion.answers + all->second.newVersion.answers;
-    share.share = move.course.shareAt(own, now);
+    share.share = move.course.shareAt(move.answers, now);
     // Without a record at the time limit the end is unknown: the servers of the old version may have stopped.
     const canary_move::phase phase = move.course.phaseAt(now);
     share.targetMayReplaceOthers = phase != canary_move::phase::canary;
--- a/tier/move_driver.h
+++ b/tier/move_driver.h
@@ -67,6 +67,7 @@
         version_move order;
         canary_move course;
         fault_detector detector;
+        std::uint64_t answers = 0; ///< Of both versions, that this node saw.
         std::string fault; ///< Why the target gets nothing; empty while it is not known to be faulty.
         time_point countsToldAt{};
         time_point dueSince{}; ///< Since when a record is due.
@@ -75,8 +76,8 @@
     };
 
     void run(running_move &move, time_point now);
-    void tellCounts(running_move &move, time_point now);
-    move_observations countsOfAllNodes(const running_move &move, time_point now) const;
+    void tellCounts(running_move &move, const move_observations &own, time_point now);
+    move_observations countsOfAllNodes(const running_move &move, move_observations own) const;
     void stopTarget(running_move &move, const std::string &reason);
     void write(running_move &move, move_outcome recorded, const std::string &reason, time_point now);
     void publishShares(time_point now);
--- a/tier/object_follower.cpp
+++ b/tier/object_follower.cpp
@@ -49,7 +49,7 @@
         }
         if (!listing) {
             failed(listing.reason());
-            listAgain();
+            listAgain(std::min(FIRST_RETRY * (1U << std::min(m_failures, 4U)) / 2, LONGEST_RETRY));
             return;
         }
         succeeded();
@@ -62,10 +62,9 @@
     });
 }
 
-void object_follower::listAgain()
+void object_follower::listAgain(duration pause)
 {
-    const duration pause = m_search.mayTryAgain(*this) ? std::min(FIRST_RETRY * (1U << std::min(m_failures, 4U)) / 2, LONGEST_RETRY) : LONGEST_WAIT;
-    after(pause, [this] { list(read_freshness::newest); });
+    after(m_search.mayTryAgain(*this) ? pause : LONGEST_WAIT, [this] { list(read_freshness::newest); });
 }
 
 void object_follower::watchAgain()
@@ -87,14 +86,11 @@
         if (!changes) {
             if (changes.reason().code == error_code::history_gone) {
                 logInfo("store.history_gone", {{"kind", m_kind}, {"revision", std::to_string(m_revision.value())}});
-            } else {
-                failed(changes.reason());
-                if (!m_search.mayTryAgain(*this)) {
-                    after(LONGEST_WAIT, [this] { list(read_freshness::newest); });
-                    return;
-                }
+                list(read_freshness::newest);
+                return;
             }
-            list(read_freshness::newest);
+            failed(changes.reason());
+            listAgain(duration::zero());
             return;
         }
         succeeded();
--- a/tier/object_follower.h
+++ b/tier/object_follower.h
@@ -37,7 +37,8 @@
 private:
     void list(read_freshness freshness);
     void watch();
-    void listAgain();
+    /** Lists after @p pause, or much later if another follower looks for the store. */
+    void listAgain(duration pause);
     void failed(const failure &reason);
     void succeeded();
     void after(duration pause, std::function<void()> action);
--- a/tier/peer_link.cpp
+++ b/tier/peer_link.cpp
@@ -34,16 +34,6 @@
     return {self.id, self.started, {peer_key{"cluster", sha256Hex(clusterName)}}, MAX_CLOCK_SKEW_MS};
 }
 
-fact factOf(fact_kind kind, std::string key, std::string payload, duration lifetime)
-{
-    fact item;
-    item.kind = kind;
-    item.key = std::move(key);
-    item.payload = std::move(payload);
-    item.lifetime = lifetime;
-    return item;
-}
-
 } // namespace
 
 peer_link::peer_link(boost::asio::io_context &loop, member self, double cores, const std::string &clusterName, std::uint64_t seed)
@@ -88,14 +78,14 @@
 
 void peer_link::announceStop()
 {
-    publish(factOf(fact_kind::draining_node, DRAINING_PREFIX + m_self.id.str(), m_self.id.str(), DRAINING_LIFETIME));
+    publish(makeFact(fact_kind::draining_node, DRAINING_PREFIX + m_self.id.str(), m_self.id.str(), DRAINING_LIFETIME));
 }
 
 void peer_link::announceCapacity()
 {
     m_capacityAnnounced = now();
     const std::string thousandths = std::to_string(static_cast<long>(m_cores * 1000));
-    publish(factOf(fact_kind::node_capacity, CAPACITY_PREFIX + m_self.id.str(), m_self.id.str() + "=" + thousandths, CAPACITY_LIFETIME));
+    publish(makeFact(fact_kind::node_capacity, CAPACITY_PREFIX + m_self.id.str(), m_self.id.str() + "=" + thousandths, CAPACITY_LIFETIME));
 }
 
 void peer_link::publish(fact item)
@@ -127,12 +117,12 @@
 {
     std::map<node_id, incarnation> draining;
     std::map<node_id, double> cores;
-    for (const fact &item : m_engine.facts().all(now())) {
-        if (item.kind == fact_kind::draining_node) {
-            draining[node_id(item.payload)] = item.originIncarnation;
-        }
+    for (const fact &item : facts(fact_kind::draining_node)) {
+        draining[node_id(item.payload)] = item.originIncarnation;
+    }
+    for (const fact &item : facts(fact_kind::node_capacity)) {
         const std::size_t equals = item.payload.rfind('=');
-        if (item.kind == fact_kind::node_capacity && equals != std::string::npos) {
+        if (equals != std::string::npos) {
             cores[node_id(item.payload.substr(0, equals))] = std::strtod(item.payload.c_str() + equals + 1, nullptr) / 1000;
         }
     }
@@ -162,9 +152,7 @@
 
 std::vector<fact> peer_link::facts(fact_kind kind) const
 {
-    std::vector<fact> found = m_engine.facts().all(now());
-    std::erase_if(found, [kind](const fact &item) { return item.kind != kind; });
-    return found;
+    return m_engine.facts().ofKind(now(), kind);
 }
 
 std::size_t peer_link::rank() const
--- a/tier/site_controller.cpp
+++ b/tier/site_controller.cpp
@@ -110,18 +110,16 @@
 void site_controller::start(bool firstStart)
 {
     const read_freshness freshness = firstStart ? read_freshness::seconds_old : read_freshness::newest;
-    m_configuration.start(freshness);
-    m_backends.start(freshness);
-    m_domains.start(freshness);
-    m_moves.start(freshness);
+    for (object_follower *follower : followers()) {
+        follower->start(freshness);
+    }
 }
 
 void site_controller::refresh()
 {
-    m_configuration.refresh();
-    m_backends.refresh();
-    m_domains.refresh();
-    m_moves.refresh();
+    for (object_follower *follower : followers()) {
+        follower->refresh();
+    }
 }
 
 object_version site_controller::newestChange() const
@@ -151,7 +149,7 @@
     }
     m_behindSince = now();
     logInfo("store.peer_ahead", {{"peer_revision", std::to_string(m_peersNewest.value())}, {"own_revision", std::to_string(newestChange().value())}});
-    for (object_follower *follower : {&m_configuration, &m_backends, &m_domains, &m_moves}) {
+    for (object_follower *follower : followers()) {
         follower->watchAgain();
     }
 }
--- a/tier/site_controller.h
+++ b/tier/site_controller.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -39,6 +40,7 @@
     void onConfiguration(std::function<void(const site_configuration &)> handler) { m_onConfiguration = std::move(handler); }
 
 private:
+    std::array<object_follower *, 4> followers() { return {&m_configuration, &m_backends, &m_domains, &m_moves}; }
     void askAgainIfBehind();
     void applyConfiguration(const stored_object &object);
     void applyBackend(const stored_object &object);
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -14,8 +14,6 @@
 
 /** The platform may change the settings file without a signal. */
 constexpr duration BOOT_CHECK_INTERVAL = std::chrono::seconds(2);
-/** A node that reaches the servers of fewer services than this leaves callers to other nodes. */
-constexpr double MAX_UNREACHABLE_SHARE = 0.3;
 constexpr duration HOUSEKEEPING_INTERVAL = std::chrono::milliseconds(250);
 /** Until it has met its peers, a node takes the number of registered nodes for that of the live ones. */
 constexpr duration JOIN_TIME = std::chrono::seconds(10);
@@ -144,7 +142,7 @@
         return;
     }
     std::vector<entry_candidate> candidates = m_peers.entries();
-    const bool useful = m_board.servers.unreachableShare(now()) < MAX_UNREACHABLE_SHARE;
+    const bool useful = !m_board.servers.seemsCutOff(now());
     if (m_board.ready() && useful) {
         candidates.push_back({m_boot.callerAddress, m_boot.domain, m_boot.processorCores});
     }
