Stop sending to a server that announces in an answer that it leaves

Callers saw requests that reached a backend server after it had said that it leaves, and that failed when the server ended.

Cause: a node learned that a server leaves from the server's entry in the store only. A node that the store doesn't reach kept sending to it, although each answer of the server said so. What a node learns of a run of a server outside the store was also lost with the entry: a server at whose address another one had answered was used again once the store listed the old entry anew.

Change: every answer is read for the announcement: those to requests, late ones to earlier requests on the same connection, those that come after their request has ended, and those to health checks. It is kept for the run of the server, beyond the entry, and ends with the next run only. All choices of a server, also for retries and hedges, go through the same check.

--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -9,8 +9,8 @@
 
 /** Live servers register again within about 2 s of the recovery of the store; the rest covers their heartbeat interval and the propagation to this node. */
 constexpr duration MISSING_ENTRY_RETENTION = std::chrono::milliseconds(2500);
-/** How long late reports of a removed server are recognized as stale. */
-constexpr duration REMOVED_SERVER_RETENTION = std::chrono::seconds(60);
+/** How long late reports of a removed server are recognized as stale, and how long the state of its last run is kept in case the store lists it again. */
+constexpr duration REMOVED_SERVER_RETENTION = std::chrono::minutes(10);
 /** Cost factor of a server whose entry is missing in the store, so that listed servers are preferred. */
 constexpr double MISSING_COST = 2.0;
 /** Cost factor of a cold server, which answers more slowly until it has warmed up. */
@@ -57,9 +57,15 @@
 
 void backend_table::insert(const backend_entry &entry, time_point now)
 {
-    m_removed.erase(entry.id);
     server &added = m_servers[entry.id];
     added.entry = entry;
+    if (const auto removed = m_removed.find(entry.id); removed != m_removed.end()) {
+        const removed_server &before = removed->second;
+        const bool sameRun = before.startedMs == entry.startedMs;
+        added.run.leaving = sameRun && before.run.leaving;
+        added.run.replaced = sameRun && before.run.replaced && before.address == entry.address && before.sequence >= entry.sequence;
+        m_removed.erase(removed);
+    }
     added.coldUntil = now + entry.warmUpLeft;
     m_byService[entry.service].push_back(&added);
 }
@@ -77,15 +83,16 @@
     server &current = known->second;
     if (current.entry.service != entry.service) {
         erase(entry.id, now);
-        m_removed.erase(entry.id);
         insert(entry, now);
         return true;
     }
-    if (current.entry.startedMs != entry.startedMs || current.entry.address != entry.address) {
+    const bool sameRun = current.entry.startedMs == entry.startedMs;
+    const bool sameAddress = current.entry.address == entry.address;
+    if (!sameRun || !sameAddress) {
         current.health.reset();
     }
-    const bool newReport = current.entry.startedMs != entry.startedMs || current.entry.address != entry.address || current.entry.sequence < entry.sequence;
-    current.replaced = current.replaced && !newReport;
+    current.run.leaving = sameRun && current.run.leaving;
+    current.run.replaced = sameRun && sameAddress && current.run.replaced && current.entry.sequence >= entry.sequence;
     current.entry = entry;
     current.expiresAt.reset();
     current.coldUntil = now + entry.warmUpLeft;
@@ -132,10 +139,24 @@
 {
     const auto known = m_servers.find(id);
     if (known != m_servers.end()) {
-        known->second.replaced = true;
+        known->second.run.replaced = true;
     }
 }
 
+bool backend_table::noteAnnouncement(const backend_server_id &id, const server_announcement &announced)
+{
+    const auto known = m_servers.find(id);
+    run_state *run = known == m_servers.end() ? nullptr : &known->second.run;
+    if (const auto removed = m_removed.find(id); !run && removed != m_removed.end()) {
+        run = &removed->second.run;
+    }
+    if (!run || !announced.leaving || run->leaving) {
+        return false;
+    }
+    run->leaving = true;
+    return true;
+}
+
 void backend_table::noteStoreUnavailable(time_point now)
 {
     m_storeUnavailable = true;
@@ -171,7 +192,7 @@
 {
     const auto known = m_servers.find(id);
     server &erased = known->second;
-    m_removed[id] = removed_server{erased.entry.startedMs, erased.entry.sequence, now};
+    m_removed[id] = removed_server{erased.entry.startedMs, erased.entry.sequence, erased.entry.address, erased.run, now};
     const auto service = m_byService.find(erased.entry.service);
     std::erase(service->second, &erased);
     if (service->second.empty()) {
@@ -189,7 +210,7 @@
 
 bool backend_table::usable(const server &candidate) const
 {
-    return !candidate.entry.draining && !candidate.replaced && !m_excludedDomains.contains(candidate.entry.domain);
+    return !candidate.entry.draining && !candidate.run.leaving && !candidate.run.replaced && !m_excludedDomains.contains(candidate.entry.domain);
 }
 
 bool backend_table::warmUpAllows(const server &candidate, time_point now) const
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -13,6 +13,7 @@
 #include "policy/backend_choice.h"
 #include "policy/backend_entry.h"
 #include "policy/backend_health.h"
+#include "policy/server_announcement.h"
 #include "policy/service_rules.h"
 #include "policy/version_share.h"
 
@@ -45,6 +46,12 @@
     void remove(const backend_server_id &id, time_point now);
     /** Records that another server answered at the address of @p id, which gets no requests until a newer report of it or a new address arrives. */
     void noteAddressReused(const backend_server_id &id);
+    /**
+     * Applies what the server @p id stated in an answer. It holds for this run of the server, whatever the store reports of the run later.
+     *
+     * Returns true if it was not known before.
+     */
+    bool noteAnnouncement(const backend_server_id &id, const server_announcement &announced);
     /** Records that the store could not be reached; meanwhile it may lose the entries of live servers. */
     void noteStoreUnavailable(time_point now);
     /** Records that the store has answered; ends the outage, if there was one. */
@@ -92,21 +99,29 @@
     std::map<failure_domain_id, std::size_t> usableServerCountByDomain() const;
 
 private:
+    /** What is known of a run of a server from its answers. It outlives the entry, because the store may list the same run again. */
+    struct run_state
+    {
+        bool leaving = false; ///< The server announced that it is shutting down.
+        bool replaced = false; ///< Another server answers at its address.
+    };
     struct server
     {
         backend_entry entry;
         backend_health health;
         std::optional<time_point> expiresAt; ///< Set while the entry is missing in the store: the server is dropped at this time unless it is listed again.
-        bool replaced = false; ///< Another server answers at its address.
+        run_state run;
         time_point coldUntil{};
         std::int64_t warmUpSecond = 0; ///< The second to which warmUpRequests applies.
         unsigned warmUpRequests = 0; ///< Requests that this node sent in that second while the server was cold.
     };
-    /** The last report of a removed server, to recognize reports that arrive late. */
+    /** The last report of a removed server, to recognize reports that arrive late, and the state of its last run. */
     struct removed_server
     {
         std::uint64_t startedMs = 0;
         std::uint64_t sequence = 0;
+        std::string address;
+        run_state run;
         time_point removedAt{};
     };
 
@@ -122,7 +137,7 @@
         server *bestSuspended = nullptr; ///< The server whose suspension ends first.
     };
 
-    /** True if the server may get requests: not draining, not replaced, and in no excluded failure domain. */
+    /** True if the server may get requests: not draining or leaving, not replaced, and in no excluded failure domain. */
     bool usable(const server &candidate) const;
     /** True unless the server is cold and this node has used up its share of the server's warm-up rate. */
     bool warmUpAllows(const server &candidate, time_point now) const;
--- a/tests/policy/test_backend_table.cpp
+++ b/tests/policy/test_backend_table.cpp
@@ -87,6 +87,60 @@
     BOOST_TEST(chosenServer(table, START) == "");
 }
 
+struct leaving_case
+{
+    const char *name;
+    bool relisted; ///< The store removes the entry first and then lists it again.
+    std::uint64_t startedMs; ///< Of the report that arrives after the announcement.
+    bool usable;
+};
+
+std::ostream &operator<<(std::ostream &out, const leaving_case &row)
+{
+    return out << row.name;
+}
+
+const leaving_case LEAVING_CASES[] = {
+    {"a newer report of the same run", false, 100, false},
+    {"a newer report of the same run after the entry was missing", true, 100, false},
+    {"a report of the next run", false, 200, true},
+    {"a report of the next run after the entry was missing", true, 200, true},
+};
+
+// Guards against forgetting that a server leaves when the store reports the same run as ready again.
+BOOST_DATA_TEST_CASE(announcedLeavingHoldsForTheRunOfTheServer, boost::unit_test::data::make(LEAVING_CASES), row)
+{
+    backend_table table(OWN_DOMAIN, 1);
+    table.apply(entryOf("a"), START);
+    BOOST_TEST(table.noteAnnouncement(backend_server_id("a"), {true}));
+    BOOST_TEST(!table.noteAnnouncement(backend_server_id("a"), {true}));
+    BOOST_TEST(chosenServer(table, START) == "");
+    BOOST_TEST(!table.hasServer(SERVICE, START));
+    if (row.relisted) {
+        table.remove(backend_server_id("a"), START);
+    }
+    backend_entry report = entryOf("a");
+    report.startedMs = row.startedMs;
+    report.sequence += 10;
+    BOOST_TEST(table.apply(report, START));
+    BOOST_TEST(chosenServer(table, START) == (row.usable ? "a" : ""));
+}
+
+// Guards against sending to an address that another server took when the store lists the old entry again.
+BOOST_AUTO_TEST_CASE(reusedAddressIsRememberedWhenTheEntryIsListedAgain)
+{
+    backend_table table(OWN_DOMAIN, 1);
+    table.apply(entryOf("a"), START);
+    table.noteAddressReused(backend_server_id("a"));
+    table.remove(backend_server_id("a"), START);
+    table.apply(entryOf("a"), START);
+    BOOST_TEST(chosenServer(table, START) == "");
+    backend_entry report = entryOf("a");
+    report.sequence += 1;
+    table.apply(report, START);
+    BOOST_TEST(chosenServer(table, START) == "a");
+}
+
 // Guards against dropping all servers at once because the store lost their entries during an outage.
 BOOST_AUTO_TEST_CASE(missingEntriesAreKeptForAWhileAfterStoreOutage)
 {
--- a/tests/stand_ins/site_backend.cpp
+++ b/tests/stand_ins/site_backend.cpp
@@ -84,7 +84,7 @@
         return;
     }
     if (m_queue.size() >= m_options.queue || chance(m_faults.refused)) {
-        exchange->respond(refusal(503));
+        respond(*exchange, refusal(503));
         return;
     }
     const auto remainingMs = request["Deadline-Ms"];
@@ -102,7 +102,7 @@
             continue;
         }
         if (std::chrono::steady_clock::now() >= next.deadline) {
-            next.exchange->respond(refusal(503));
+            respond(*next.exchange, refusal(503));
             continue;
         }
         work(next.exchange);
@@ -141,6 +141,14 @@
     answer.set("Request-Id", id);
     answer.set("Server-Stamp", siteSignature(m_options.service, id, ++m_signatureCount));
     answer.body() = siteRecords(m_options.service, std::string(request.target()), m_options.records);
+    respond(exchange, std::move(answer));
+}
+
+void site_backend::respond(http_exchange &exchange, http_response_message answer) const
+{
+    if (m_announcements.leaving) {
+        answer.set("Server-Leaving", "1");
+    }
     exchange.respond(std::move(answer));
 }
 
--- a/tests/stand_ins/site_backend.h
+++ b/tests/stand_ins/site_backend.h
@@ -41,6 +41,12 @@
         std::chrono::milliseconds addedLatency{0}; ///< Added to the execution time of each request.
     };
 
+    /** What the server states about itself in its answers. */
+    struct announcements
+    {
+        bool leaving = false;
+    };
+
     /** A request whose execution began. */
     struct run
     {
@@ -59,6 +65,7 @@
     /** Publishes the entry with @p address, for example that of a proxy in front of the server, and the state "ready". */
     void advertise(const std::string &address);
     void setFaults(const faults &newFaults) { m_faults = newFaults; }
+    void setAnnouncements(const announcements &newAnnouncements) { m_announcements = newAnnouncements; }
     /** Makes each request whose target contains @p text call @p crash instead of being answered. */
     void crashOnTarget(const std::string &text, std::function<void()> crash);
     /** Writes the entry of the server to the store; @p state is "ready" or "draining". */
@@ -80,12 +87,15 @@
     void startNext();
     void work(const std::shared_ptr<http_exchange> &exchange);
     void answer(http_exchange &exchange);
+    /** Sends the answer with the headers of the current announcements. */
+    void respond(http_exchange &exchange, http_response_message answer) const;
     bool chance(unsigned percent);
 
     boost::asio::io_context &m_loop;
     site_store &m_store;
     options m_options;
     faults m_faults;
+    announcements m_announcements;
     std::string m_crashTargetText; ///< Requests whose target contains this text crash the server; empty disables it.
     std::function<void()> m_crash;
     std::string m_advertised;
--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -283,6 +283,32 @@
     }));
 }
 
+// Guards against requests that reach a server after it announced in an answer that it leaves, while the node can't reach the store.
+BOOST_AUTO_TEST_CASE(serversThatAnnounceLeavingGetNoRequestsDuringStoreOutage)
+{
+    running_site running(1);
+    running.site.onLoop([&] { running.site.store().setCondition(site_store::condition::silent); });
+    site_backend *leaving = running.site.onLoop([&] {
+        site_backend *server = running.site.serversOf("shard-0").front();
+        server->setAnnouncements({true});
+        return server;
+    });
+    const auto arrivals = [&] { return running.site.onLoop([&] { return leaving->arrivals(); }); };
+    const auto before = arrivals();
+    BOOST_REQUIRE(site_emulator::waitFor([&] {
+        running.site.query("node-0");
+        return arrivals() > before;
+    }));
+    // The answer that says so may still be on its way to the node when the query ends.
+    std::this_thread::sleep_for(milliseconds(200));
+    const auto announced = arrivals();
+    for (int i = 0; i < 60; ++i) {
+        const site_caller::request request = running.site.queryRequest();
+        BOOST_TEST(running.site.findAnswerProblem(running.site.call(running.site.addresses("node-0").callers, request), request) == "");
+    }
+    BOOST_TEST(arrivals() == announced);
+}
+
 // Guards against a node that stops serving, or drops servers whose entries the store lost, when the store refuses calls or goes silent.
 BOOST_AUTO_TEST_CASE(nodeServesDuringStoreOutage)
 {
--- a/tier/crash_controller.cpp
+++ b/tier/crash_controller.cpp
@@ -9,6 +9,7 @@
 #include "platform/health_check.h"
 #include "policy/request_suspicion.h"
 #include "tier/loop_clock.h"
+#include "tier/server_announcements.h"
 #include "tier/tier_blackboard.h"
 
 namespace snipefall {
@@ -83,6 +84,9 @@
 void crash_controller::handleCheckResult(crash_search &search, const lost_server &server, const client_result &result)
 {
     const bool otherServer = result.outcome == client_result::kind::answered && !isAnswerFrom(result.response, server.id);
+    if (result.outcome == client_result::kind::answered && !otherServer) {
+        noteServerAnnouncement(m_board, server.id, result.response);
+    }
     const bool crashed = result.outcome == client_result::kind::not_sent || otherServer;
     logInfo("server.checked_after_loss",
             {{"request", search.id.str()}, {"server", server.id.str()}, {"address", server.address}, {"crashed", crashed ? "yes" : "no"}});
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -12,6 +12,7 @@
 #include "tier/crash_controller.h"
 #include "tier/loop_clock.h"
 #include "tier/move_driver.h"
+#include "tier/server_announcements.h"
 #include "tier/tier_blackboard.h"
 #include "tier/tier_metrics.h"
 
@@ -99,7 +100,11 @@
     call.bytes = m_writer.write(planned.server.id, m_times.deadline - at);
     call.newConnection = !m_route.idempotent;
     call.deadline = m_times.deadline;
-    call.acceptsResponse = [id = m_request.id](const http_response_message &answer) { return isAnswerTo(answer, id); };
+    // A late answer to an earlier request is not accepted, but what the server states in it holds all the same.
+    call.acceptsResponse = [&board = m_dependencies.board, server = planned.server.id, id = m_request.id](const http_response_message &answer) {
+        noteServerAnnouncement(board, server, answer);
+        return isAnswerTo(answer, id);
+    };
     const std::size_t id = planned.id;
     subRequest.call =
         m_dependencies.client.start(std::move(call), [self = shared_from_this(), id](client_result result) { self->subRequestEnded(id, std::move(result)); });
--- /dev/null
+++ b/tier/server_announcements.cpp
@@ -0,0 +1,23 @@
+#include "tier/server_announcements.h"
+
+#include "core/logger.h"
+#include "platform/server_announcement_reader.h"
+#include "tier/tier_blackboard.h"
+
+namespace snipefall {
+
+void noteServerAnnouncement(tier_blackboard &board, const backend_server_id &id, const http_response_message &answer)
+{
+    const server_announcement announced = readServerAnnouncement(answer);
+    if (!board.servers.noteAnnouncement(id, announced)) {
+        return;
+    }
+    const backend_entry *entry = board.servers.find(id);
+    logInfo("backend.announced",
+            {{"server", id.str()},
+             {"service", entry ? entry->service.str() : "unlisted"},
+             {"leaving", announced.leaving ? "yes" : "no"},
+             {"store_says_draining", entry && entry->draining ? "yes" : "no"}});
+}
+
+} // namespace snipefall
