Check the limits of a server again before a running request returns to it

Callers' requests that had reached the servers that one request may reach were sent again to one of these by its entry alone: not draining, domain not taken out. A request could so reach a server at whose address another one answered, a server that had announced that it leaves, or a server of a version that had been stopped as bad, and past the warm-up rate of a cold one.

Cause: request_execution::chooseRetryServer had a check of its own, which missed what backend_table had learned since. It belongs to the same class as the fault of leaving servers: knowledge that one path applies and another one doesn't.

Change: backend_table::chooseAmong makes this choice by the checks of choose(). A part whose servers are all excluded can't be answered any more, so the request ends at once and doesn't wait until its end.

Test: request_execution_tests/runningRequestDoesNotReturnToExcludedServer failed before for each of its three rows, and passes now.

--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 
 namespace snipefall {
 
@@ -213,6 +214,16 @@
     return !candidate.entry.draining && !candidate.run.leaving && !candidate.run.replaced && !m_excludedDomains.contains(candidate.entry.domain);
 }
 
+bool backend_table::versionAllows(const server &candidate) const
+{
+    const auto split = m_versionShares.find(candidate.entry.service);
+    if (split == m_versionShares.end()) {
+        return true;
+    }
+    const version_share &shares = split->second;
+    return candidate.entry.version == shares.target ? shares.share > 0 || shares.targetServesFallback : true;
+}
+
 bool backend_table::warmUpAllows(const server &candidate, time_point now) const
 {
     const auto rules = m_rules.find(candidate.entry.service);
@@ -284,11 +295,32 @@
 
 std::optional<backend_choice> backend_table::choose(
     const service_id &service, const std::vector<backend_server_id> &excluded, suspended_server_policy suspended, duration medianLatency, time_point now)
+{
+    const auto found = m_byService.find(service);
+    return found == m_byService.end() ? std::nullopt : chooseFrom(found->second, excluded, suspended, medianLatency, now);
+}
+
+std::optional<backend_choice>
+backend_table::chooseAmong(const service_id &service, const std::vector<backend_server_id> &ids, duration medianLatency, time_point now)
 {
     const auto found = m_byService.find(service);
     if (found == m_byService.end()) {
         return std::nullopt;
     }
+    std::vector<server *> servers;
+    std::copy_if(found->second.begin(), found->second.end(), std::back_inserter(servers), [&ids](const server *candidate) {
+        return std::find(ids.begin(), ids.end(), candidate->entry.id) != ids.end();
+    });
+    return servers.empty() ? std::nullopt : chooseFrom(servers, {}, suspended_server_policy::avoided, medianLatency, now);
+}
+
+std::optional<backend_choice> backend_table::chooseFrom(const std::vector<server *> &servers,
+                                                        const std::vector<backend_server_id> &excluded,
+                                                        suspended_server_policy suspended,
+                                                        duration medianLatency,
+                                                        time_point now)
+{
+    const service_id &service = servers.front()->entry.service;
     version_filter versions;
     bool mayFallBack = false;
     if (const auto split = m_versionShares.find(service); split != m_versionShares.end()) {
@@ -296,11 +328,11 @@
         versions.wantsTarget = std::uniform_real_distribution<double>(0.0, 1.0)(m_randomEngine) < split->second.share;
         mayFallBack = versions.wantsTarget || split->second.targetServesFallback;
     }
-    const candidates preferred = cheapest(found->second, excluded, versions, medianLatency, now);
+    const candidates preferred = cheapest(servers, excluded, versions, medianLatency, now);
     candidates fallback;
     if (!preferred.best && mayFallBack) {
         versions.wantsTarget = !versions.wantsTarget;
-        fallback = cheapest(found->second, excluded, versions, medianLatency, now);
+        fallback = cheapest(servers, excluded, versions, medianLatency, now);
     }
     server *best = preferred.best ? preferred.best : fallback.best;
     if (!best && suspended == suspended_server_policy::avoided) {
@@ -335,8 +367,15 @@
     if (found == m_byService.end()) {
         return false;
     }
-    return std::any_of(
-        found->second.begin(), found->second.end(), [&](const server *candidate) { return usable(*candidate) && warmUpAllows(*candidate, now); });
+    return std::any_of(found->second.begin(), found->second.end(), [&](const server *candidate) {
+        return usable(*candidate) && versionAllows(*candidate) && warmUpAllows(*candidate, now);
+    });
+}
+
+bool backend_table::mayGetRequests(const backend_server_id &id, time_point now) const
+{
+    const auto known = m_servers.find(id);
+    return known != m_servers.end() && usable(known->second) && versionAllows(known->second) && warmUpAllows(known->second, now);
 }
 
 bool backend_table::hasReachableServer(const service_id &service, time_point now) const
@@ -346,7 +385,7 @@
         return false;
     }
     return std::any_of(found->second.begin(), found->second.end(), [&](const server *candidate) {
-        return usable(*candidate) && warmUpAllows(*candidate, now) && !candidate->health.unreachable(now);
+        return usable(*candidate) && versionAllows(*candidate) && warmUpAllows(*candidate, now) && !candidate->health.unreachable(now);
     });
 }
 
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -77,8 +77,12 @@
      */
     std::optional<backend_choice> choose(
         const service_id &service, const std::vector<backend_server_id> &excluded, suspended_server_policy suspended, duration medianLatency, time_point now);
+    /** As choose(), but only among the servers with these @p ids; a suspended one is chosen if no other is available. */
+    std::optional<backend_choice> chooseAmong(const service_id &service, const std::vector<backend_server_id> &ids, duration medianLatency, time_point now);
     /** True if the service has a server that may get requests, even if it is suspended. */
     bool hasServer(const service_id &service, time_point now) const;
+    /** True if the server may get requests, even if it is suspended. */
+    bool mayGetRequests(const backend_server_id &id, time_point now) const;
     /** True if the service has a server that may get requests and is not suspended as unreachable. */
     bool hasReachableServer(const service_id &service, time_point now) const;
     /** True if so many services have no reachable server that this node itself is probably isolated by a network partition. */
@@ -139,8 +143,15 @@
 
     /** True if the server may get requests: not draining or leaving, not replaced, and in no excluded failure domain. */
     bool usable(const server &candidate) const;
+    /** True if requests may go to servers of this version of the service. */
+    bool versionAllows(const server &candidate) const;
     /** True unless the server is cold and this node has used up its share of the server's warm-up rate. */
     bool warmUpAllows(const server &candidate, time_point now) const;
+    std::optional<backend_choice> chooseFrom(const std::vector<server *> &servers,
+                                             const std::vector<backend_server_id> &excluded,
+                                             suspended_server_policy suspended,
+                                             duration medianLatency,
+                                             time_point now);
     candidates cheapest(const std::vector<server *> &servers,
                         const std::vector<backend_server_id> &excluded,
                         const version_filter &versions,
--- a/policy/request_execution.cpp
+++ b/policy/request_execution.cpp
@@ -261,17 +261,7 @@
         return m_servers.choose(part.service, {}, backend_table::suspended_server_policy::avoided, m_medianLatency, now);
     }
     // The request has reached its limit of servers, so it may only be sent again to one that already received it.
-    auto server = m_servers.choose(part.service, {}, backend_table::suspended_server_policy::avoided, m_medianLatency, now);
-    if (server && std::find(mayHaveRunServers.begin(), mayHaveRunServers.end(), server->id) != mayHaveRunServers.end()) {
-        return server;
-    }
-    for (const backend_server_id &id : mayHaveRunServers) {
-        const backend_entry *entry = m_servers.find(id);
-        if (entry && !entry->draining && !m_servers.excludedDomains().contains(entry->domain)) {
-            return backend_choice{entry->id, entry->address};
-        }
-    }
-    return std::nullopt;
+    return m_servers.chooseAmong(part.service, mayHaveRunServers, m_medianLatency, now);
 }
 
 void request_execution::sendHedge(std::size_t index, time_point now, execution_step &step)
@@ -328,12 +318,21 @@
     return servers;
 }
 
+bool request_execution::hasServerFor(const part_state &part, time_point now) const
+{
+    const std::vector<backend_server_id> servers = serversThatMayHaveRun(part);
+    if (servers.size() < m_route.maxServers) {
+        return m_servers.hasServer(part.service, now);
+    }
+    return std::any_of(servers.begin(), servers.end(), [&](const backend_server_id &id) { return m_servers.mayGetRequests(id, now); });
+}
+
 bool request_execution::cannotBeAnswered(const part_state &part, time_point now) const
 {
     if (part.answer != NONE || part.inFlight > 0) {
         return false;
     }
-    return part.noFurtherAttempts || !m_servers.hasServer(part.service, now);
+    return part.noFurtherAttempts || !hasServerFor(part, now);
 }
 
 bool request_execution::meetsMinCoverage(std::size_t answered) const
--- a/policy/request_execution.h
+++ b/policy/request_execution.h
@@ -78,6 +78,8 @@
     std::vector<backend_server_id> triedServers(const part_state &part) const;
     std::vector<backend_server_id> serversThatMayHaveRun(const part_state &part) const;
     std::optional<backend_choice> chooseRetryServer(const part_state &part, time_point now);
+    /** Whether some server may still get an attempt of the part, now or when it is no longer suspended. */
+    bool hasServerFor(const part_state &part, time_point now) const;
     /** Whether the part has no answer and nothing in flight, and either gets no further attempt or has no server. */
     bool cannotBeAnswered(const part_state &part, time_point now) const;
     /** Whether connections of a query were lost and no server has answered yet, so that the query itself may crash the servers that run it. */
--- a/tests/policy/test_request_execution.cpp
+++ b/tests/policy/test_request_execution.cpp
@@ -235,6 +235,41 @@
     BOOST_TEST(reached.size() == 2U);
 }
 
+struct excluded_server_case
+{
+    const char *name;
+    void (*exclude)(backend_table &servers, const backend_server_id &id);
+};
+
+std::ostream &operator<<(std::ostream &out, const excluded_server_case &row)
+{
+    return out << row.name;
+}
+
+const excluded_server_case EXCLUDED_SERVER_CASES[] = {
+    {"it leaves", [](backend_table &servers, const backend_server_id &id) { servers.noteAnnouncement(id, {true}); }},
+    {"another server has its address", [](backend_table &servers, const backend_server_id &id) { servers.noteAddressReused(id); }},
+    {"its version is stopped",
+     [](backend_table &servers, const backend_server_id &id) {
+         servers.setVersionShares({{servers.find(id)->service, {servers.find(id)->version, 0, false}}});
+     }},
+};
+
+// Guards against a running request that repeats a lost sub-request on its only allowed server although the node has since learned not to use that server.
+BOOST_DATA_TEST_CASE(runningRequestDoesNotReturnToExcludedServer, boost::unit_test::data::make(EXCLUDED_SERVER_CASES), row)
+{
+    request_fixture fixture(0);
+    fixture.route.maxServers = 1;
+    execution_step step;
+    request_execution execution = fixture.start(step);
+    BOOST_REQUIRE(step.sends.size() == 1U);
+    row.exclude(fixture.servers, step.sends.front().server.id);
+    step = execution.subRequestEnded(0, attempt_outcome::lost, START + milliseconds(5));
+    BOOST_TEST(step.sends.empty());
+    BOOST_REQUIRE(step.result.has_value());
+    BOOST_TEST((step.result->outcome == execution_result::kind::failed));
+}
+
 // Guards against hedges and retries without a token of the shared_retry_budget.
 BOOST_AUTO_TEST_CASE(extraSubRequestsNeedTokens)
 {
