Compare latencies on new connections, so that many nodes find a slow version

A slow version was moved to and recorded as done where many nodes share the requests, and callers waited for it from then on.

Cause: the latency of the first answer on a connection was not compared, as it includes the set-up of the connection. With 78 nodes a node sends the target version of a shard one request in some 20 s, and idle connections close before: every answer was a first one, so there was no latency to compare at all.

Change: first answers of a route have counts of their own and are compared with first answers of the old version. They also no longer count as answers of cold servers, which put the latencies of the next two seconds aside.

Test: move_driver_tests/badVersionIsStoppedWhereManyNodesShareTheRequests, with the move drivers of 78 nodes on a simulated network. The own interface of the product still leaves first answers out.

--- a/policy/fault_detector.cpp
+++ b/policy/fault_detector.cpp
@@ -85,6 +85,10 @@
         m_lastColdAt = sample.warm ? m_lastColdAt : sample.at;
         counted.warm = sample.warm && (sample.at - m_lastColdAt >= WARM_UP_MARGIN || sample.at - *m_firstNewAt >= MAX_WARM_UP);
     }
+    if (counted.newConnection) {
+        add(m_routes[newConnectionsKey(sample.route)], counted);
+        counted.warm = false;
+    }
     add(m_routes[sample.route], counted);
     add(m_routes[ALL_ROUTES], counted);
 }
--- a/policy/fault_detector.h
+++ b/policy/fault_detector.h
@@ -27,7 +27,7 @@
 
     /** Starts a new step when the share differs from the current one. */
     void setShare(std::uint32_t sharePercent);
-    /** Counts one sub-answer for its route and for ALL_ROUTES. */
+    /** Counts one sub-answer for its route, for ALL_ROUTES, and under newConnectionsKey() if it is the first one on a connection. */
     void record(const sub_request_sample &sample);
     /** The fault that was found, if any; once set, it never changes. Call this about every 100 ms. */
     const std::optional<bad_version_fact> &check(time_point now);
--- a/policy/route_counts.h
+++ b/policy/route_counts.h
@@ -35,7 +35,16 @@
  */
 inline constexpr const char *ALL_ROUTES = "*";
 
-/** Counts by route, with an additional entry under ALL_ROUTES. */
+/**
+ * The key of the entry for the first answers on connections of a route. Their latencies include the set-up of a connection and are compared only with each
+ * other; where each node rarely sends requests, no connection is used twice and there are no other latencies.
+ */
+inline std::string newConnectionsKey(const std::string &route)
+{
+    return route + " (new connections)";
+}
+
+/** Counts by route, with additional entries under ALL_ROUTES and newConnectionsKey(). */
 using counts_by_route = std::map<std::string, route_counts>;
 
 } // namespace snipefall
--- /dev/null
+++ b/tests/tier/test_move_driver.cpp
@@ -0,0 +1,74 @@
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "tests/tier/move_cluster.h"
+
+using namespace snipefall;
+
+namespace {
+
+constexpr duration ROLLBACK_LIMIT = std::chrono::seconds(5);
+
+struct bad_version_case
+{
+    const char *name;
+    move_cluster::options options;
+};
+
+std::ostream &operator<<(std::ostream &out, const bad_version_case &row)
+{
+    return out << row.name;
+}
+
+move_cluster::options moveOf(std::size_t nodes, double errorShare, double slowdown, duration faultsFrom = duration::zero(), std::size_t services = 1)
+{
+    move_cluster::options options;
+    options.nodes = nodes;
+    options.services = services;
+    options.errorShare = errorShare;
+    options.slowdown = slowdown;
+    options.faultsFrom = faultsFrom;
+    return options;
+}
+
+const bad_version_case BAD_VERSION_CASES[] = {
+    {"7 nodes, errors", moveOf(7, 0.4, 1)},
+    {"7 nodes, slow", moveOf(7, 0, 4)},
+    {"78 nodes, errors", moveOf(78, 0.4, 1)},
+    {"78 nodes, few errors", moveOf(78, 0.15, 1)},
+    {"78 nodes, slow", moveOf(78, 0, 4)},
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(move_driver_tests)
+
+// Guards against a bad version that is kept, or stopped too late, because each of many nodes sees only a few of its answers.
+BOOST_DATA_TEST_CASE(badVersionIsStoppedWhereManyNodesShareTheRequests, boost::unit_test::data::make(BAD_VERSION_CASES), row)
+{
+    move_cluster cluster(row.options);
+    cluster.run(std::chrono::seconds(30));
+    for (std::size_t service = 0; service < row.options.services; ++service) {
+        const move_cluster::request_totals &totals = cluster.totals(service);
+        BOOST_TEST_CONTEXT("service " << service << ": " << totals.target << " of " << totals.all << " requests reached the version, " << totals.bad
+                                      << " answers were bad")
+        {
+            BOOST_TEST(cluster.recordedState(service) == "rolled_back");
+            const bool late = totals.tooManyBadAt && *totals.lastTargetAt > *totals.tooManyBadAt + ROLLBACK_LIMIT;
+            BOOST_TEST(!late);
+            BOOST_TEST(static_cast<double>(totals.target) <= 0.1 * static_cast<double>(totals.all) + 50);
+        }
+    }
+}
+
+// Guards against rolling back a good version because of chance.
+BOOST_AUTO_TEST_CASE(goodVersionIsKeptWhereManyNodesShareTheRequests)
+{
+    move_cluster cluster(moveOf(78, 0, 1, duration::zero(), 10));
+    cluster.run(std::chrono::seconds(25));
+    for (std::size_t service = 0; service < 10; ++service) {
+        BOOST_TEST(cluster.recordedState(service) == "done");
+    }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -173,8 +173,8 @@
     sub_request_sample sample;
     sample.route = m_route.name;
     sample.failed = ended.outcome != attempt_outcome::answered;
-    // The latency of the first answer on a connection includes connection set-up, so only answers on reused connections count as warm.
-    sample.warm = reused && !m_dependencies.board.servers.isCold(ended.server.id, at);
+    sample.warm = !m_dependencies.board.servers.isCold(ended.server.id, at);
+    sample.newConnection = !reused;
     sample.latency = latency;
     sample.at = at;
     m_dependencies.moves.record(entry->service, entry->version, std::move(sample));
