Stop the emulator's loop in the step that destroys the store and the servers

test_tier ended twice in five runs of movesEndByTheirDeadline with a memory access violation. The core dumps show site_store::expireWatches on the loop's thread while the destructor of site_emulator waits for its next step: a timer that had expired before the store was destroyed had its handler queued, and the loop ran it before it was stopped.

The loop is now stopped by the same handler that destroys the objects, so no queued handler can run after it.

--- a/tests/stand_ins/site_emulator.cpp
+++ b/tests/stand_ins/site_emulator.cpp
@@ -91,9 +91,10 @@
         }
         m_servers.clear();
         m_store.reset();
+        // Handlers that are already queued refer to these objects, so the loop runs no more of them.
+        m_loop.stop();
     });
     m_workGuard.reset();
-    m_loop.stop();
     m_thread.join();
     std::error_code ignored; // A temporary folder that can not be removed does not fail the test.
     std::filesystem::remove_all(m_folder, ignored);
