Send the counts of a move to three judges instead of gossiping them

A bad version of one shard kept getting requests on the grown site: the move to it was recorded as done, although its answers were bad.

Cause: each node published its counts as facts, for each route once a second and four times a second near the end. Gossip lets every node repeat every fact, at 3 KB a second and node. With 78 nodes the counts waited for longer than the phase that they described, so the nodes that decided at the end of the move had not seen the bad answers. An approval by whoever was first also needed no knowledge of the others at all.

Change: counts travel in datagrams straight to the first three nodes by rank, which sum them up; a node that restarts doesn't take its earlier counts away. What doesn't change isn't sent again, except every 5 s in case of loss or of a new judge. Only a judge approves a version, 300 ms after the full phase, when the last reports have arrived; the approval is one fact, by which any node may record the end. Every node still stops a version by its own answers, and a found fault is gossiped as before, now without counts in its way. The judges log the sums once a second (move.counts).

Test: move_driver_tests/badVersionIsStoppedWhereManyNodesShareTheRequests.

--- a/peer/message_kind.h
+++ b/peer/message_kind.h
@@ -9,6 +9,7 @@
 {
     gossip = 1,
     exchange_failure = 2,
+    move_counts = 3, ///< A datagram with a move_count_report.
     first_exchange = 100,
 };
 
--- a/policy/move_messages.cpp
+++ b/policy/move_messages.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr duration BAD_VERSION_LIFETIME = std::chrono::hours(12);
+/** An approval only has to outlast a short outage of the store. */
+constexpr duration APPROVED_VERSION_LIFETIME = std::chrono::minutes(1);
 
 json toJson(const version_counts &counts)
 {
@@ -78,6 +80,39 @@
                              std::move(recent).value()};
 }
 
+std::vector<std::string> encodeCountReport(const move_count_report &report, std::size_t maxBytes)
+{
+    json message{{"service", report.service.str()}, {"move_id", report.moveId}, {"route", report.route}, {"excess_dispersion", report.counts.excessDispersion}};
+    json oldOnly = message;
+    oldOnly["old"] = toJson(report.counts.oldVersion);
+    json newOnly = message;
+    newOnly["new"] = toJson(report.counts.newVersion);
+    message["old"] = oldOnly["old"];
+    message["new"] = newOnly["new"];
+    std::string whole = canonicalJson(message);
+    if (whole.size() <= maxBytes) {
+        return {std::move(whole)};
+    }
+    return {canonicalJson(oldOnly), canonicalJson(newOnly)};
+}
+
+outcome<move_count_report> decodeCountReport(const std::string &payload)
+{
+    const outcome<json> document = parseJson(payload);
+    if (!document || !document->is_object()) {
+        return failure{error_code::invalid_argument, "a count report is not a JSON object"};
+    }
+    const outcome<version_counts> oldVersion = document->contains("old") ? parseCounts((*document)["old"]) : outcome<version_counts>(version_counts());
+    const outcome<version_counts> newVersion = document->contains("new") ? parseCounts((*document)["new"]) : outcome<version_counts>(version_counts());
+    if (!oldVersion || !newVersion) {
+        return oldVersion ? newVersion.reason() : oldVersion.reason();
+    }
+    return move_count_report{service_id(jsonValue<std::string>(*document, "service", "")),
+                             jsonValue<std::string>(*document, "move_id", ""),
+                             jsonValue<std::string>(*document, "route", ""),
+                             {*oldVersion, *newVersion, std::max(0.0, jsonValue<double>(*document, "excess_dispersion", 0))}};
+}
+
 std::string encodeBadVersion(const bad_version_fact &found)
 {
     return canonicalJson({{"service", found.service.str()}, {"version", found.version.str()}, {"move_id", found.moveId}, {"reason", found.reason}});
@@ -100,4 +135,12 @@
     return makeFact(fact_kind::bad_version, "bad_version/" + found.service.str() + "/" + found.moveId, encodeBadVersion(found), BAD_VERSION_LIFETIME);
 }
 
+fact makeApprovedVersionFact(const bad_version_fact &approved)
+{
+    return makeFact(fact_kind::approved_version,
+                    "approved_version/" + approved.service.str() + "/" + approved.moveId,
+                    encodeBadVersion(approved),
+                    APPROVED_VERSION_LIFETIME);
+}
+
 } // namespace snipefall
--- a/policy/timed_move_controller.h
+++ b/policy/timed_move_controller.h
@@ -40,6 +40,8 @@
     timed_move_controller(time_point orderedAt, duration timeLimit, const canary_limits &limits);
 
     phase phaseAt(time_point now) const;
+    /** The end of the full phase. */
+    time_point finishAt() const { return m_finishAt; }
     /** The target version's share of this node's requests, from 0 to 1; @p answers is the number of answers of both versions that this node has received. */
     double shareAt(std::uint64_t answers, time_point now) const;
     /** @p observations cover all nodes since the move was ordered; @p targetServers is the number of live servers of the target version. */
@@ -53,4 +55,10 @@
     canary_limits m_limits;
 };
 
+constexpr const char *toString(timed_move_controller::phase phase)
+{
+    constexpr const char *NAMES[] = {"canary", "full", "finishing", "overdue"};
+    return NAMES[static_cast<int>(phase)];
+}
+
 } // namespace snipefall
--- a/tests/tier/move_cluster.h
+++ b/tests/tier/move_cluster.h
@@ -68,6 +68,7 @@
     void sendRequest(simulated_node &node, simulated_service &service, time_point at, bool targetIsFaulty);
     void deliverStoreChanges();
     void deliverFacts();
+    void sendToJudges(std::size_t sender, const std::string &message);
     json orderOf(const simulated_service &service) const { return m_store.find("rollouts", service.id.str()); }
 
     options m_options;
@@ -77,6 +78,7 @@
     std::mt19937_64 m_random;
     std::vector<simulated_node> m_nodes;
     std::vector<simulated_service> m_services;
+    std::vector<std::tuple<std::size_t, std::size_t, std::string>> m_reports; ///< Sender, recipient and message of the reports that are on their way.
 };
 
 } // namespace snipefall
--- a/tier/move_driver.cpp
+++ b/tier/move_driver.cpp
@@ -18,10 +18,14 @@
 
 namespace {
 
-/** How often a node publishes its counts during the canary phase. After it the counts are published at each run, because the move's end is near. */
+/** How often a node reports its counts during the canary phase. After it the counts are reported at each run, because the move's end is near. */
 constexpr duration COUNTS_INTERVAL = std::chrono::seconds(1);
-/** Counts published by a node that has since gone are used for this time. */
-constexpr duration COUNTS_LIFETIME = std::chrono::seconds(60);
+/** How often all counts are reported, also unchanged ones: a datagram may have been lost, and another node may have become a judge. */
+constexpr duration ALL_COUNTS_INTERVAL = std::chrono::seconds(5);
+/** Bytes of a report that fit one datagram with its envelope. */
+constexpr std::size_t MAX_REPORT_BYTES = 1000;
+/** A judge waits for this time after the full phase for the last reports to arrive. */
+constexpr duration LAST_REPORTS_TIME = std::chrono::milliseconds(300);
 /**
  * A node waits this long for each node ranked before it, so that their write and the store's notification of it arrive first. MAX_DELAYED_RANK bounds the
  * total, so that the last node still writes in time.
@@ -87,9 +91,11 @@
         known->order = move;
     } else {
         known = std::make_unique<running_move>(move, m_limits, now());
-        // A peer's bad_version fact may have arrived before the store's notification of the move.
-        for (const fact &finding : m_peers.facts(fact_kind::bad_version)) {
-            applyPeerFact(finding);
+        // A peer's finding may have arrived before the store's notification of the move.
+        for (const fact_kind kind : {fact_kind::bad_version, fact_kind::approved_version}) {
+            for (const fact &finding : m_peers.facts(kind)) {
+                applyPeerFact(finding);
+            }
         }
     }
     logInfo("move.seen",
@@ -131,6 +137,10 @@
     if (known == m_moves.end() || known->second->order.moveId != found->moveId || !known->second->fault.empty()) {
         return; // apply() reads the fact again when its move arrives later.
     }
+    if (peerFact.kind == fact_kind::approved_version) {
+        known->second->approved = true;
+        return;
+    }
     known->second->fault = found->reason;
     logWarning("move.target_stopped",
                {{"service", found->service.str()}, {"target", found->version.str()}, {"reason", found->reason}, {"origin", peerFact.origin.str()}});
@@ -158,14 +168,23 @@
         stopTarget(move, found->reason);
     }
     const move_observations own = move.detector.observations(now);
-    publishCounts(move, own, now);
-    timed_move_controller::decision decision =
-        move.controller.decide(countsOfAllNodes(move, own), m_board.servers.usableServerCount(move.order.service, move.order.target), now);
+    reportCounts(move, own, now);
+    const move_observations all = countsOfAllNodes(move, own);
+    if (isJudge()) {
+        logCounts(move, all, now);
+    }
+    timed_move_controller::decision decision = move.controller.decide(all, m_board.servers.usableServerCount(move.order.service, move.order.target), now);
     if (decision.targetAtFault && move.fault.empty()) {
         stopTarget(move, decision.reason);
     }
     if (!move.fault.empty()) {
         decision = {move_action::roll_back, true, move.fault};
+    } else if (decision.action == move_action::finish && !move.approved) {
+        if (isJudge() && now >= move.controller.finishAt() + LAST_REPORTS_TIME) {
+            approveTarget(move, decision.reason);
+        } else {
+            decision = {move_action::none, false, "awaiting the judges"};
+        }
     }
     if (decision.action == move_action::roll_back) {
         writeStatus(move, move_outcome::rolled_back, decision.reason, now);
@@ -178,39 +197,65 @@
     }
 }
 
-void move_driver::publishCounts(running_move &move, const move_observations &own, time_point now)
+void move_driver::reportCounts(running_move &move, const move_observations &own, time_point now)
 {
     const bool inCanaryPhase = move.controller.phaseAt(now) == timed_move_controller::phase::canary;
-    if (inCanaryPhase && now - move.countsPublishedAt < COUNTS_INTERVAL) {
+    if (inCanaryPhase && now - move.countsReportedAt < COUNTS_INTERVAL) {
         return;
     }
-    move.countsPublishedAt = now;
+    move.countsReportedAt = now;
+    const bool all = now - move.allCountsReportedAt >= ALL_COUNTS_INTERVAL;
+    if (all) {
+        move.allCountsReportedAt = now;
+    }
     for (const auto &[route, counts] : own.step) {
-        if (counts.newVersion.answers == 0) {
+        const bool changed = counts.newVersion.answers != move.reported[route].newVersion.answers;
+        if (counts.newVersion.answers == 0 || !(all || changed)) {
             continue;
         }
-        m_peers.publish(makeFact(fact_kind::move_counts,
-                                 fmt::format("move/{}/{}/{}", move.order.service.str(), route, m_self.str()),
-                                 encodeObservations({own.moveId, own.sharePercent, {{route, counts}}, {}}),
-                                 COUNTS_LIFETIME));
+        move.reported[route] = counts;
+        for (const std::string &message : encodeCountReport({move.order.service, move.order.moveId, route, counts}, MAX_REPORT_BYTES)) {
+            m_peers.sendToJudges(message);
+        }
     }
 }
 
-move_observations move_driver::countsOfAllNodes(const running_move &move, move_observations own) const
+void move_driver::applyCountReport(const node_id &sender, const std::string &payload)
 {
-    move_observations sum = std::move(own);
-    const std::string prefix = fmt::format("move/{}/", move.order.service.str());
-    for (const fact &published : m_peers.facts(fact_kind::move_counts)) {
-        if (published.origin == m_self || published.key.rfind(prefix, 0) != 0) {
-            continue;
-        }
-        const outcome<move_observations> counted = decodeObservations(published.payload);
-        if (!counted) {
-            logWarning("peers.fact_malformed", {{"key", published.key}, {"origin", published.origin.str()}});
-            continue;
-        }
-        sum.merge(*counted);
+    const outcome<move_count_report> report = decodeCountReport(payload);
+    if (!report) {
+        logWarning("peers.count_report_malformed", {{"sender", sender.str()}, {"reason", report.reason().message}});
+        return;
+    }
+    const auto known = m_moves.find(report->service);
+    if (known != m_moves.end() && known->second->order.moveId == report->moveId) {
+        known->second->peerCounts.apply(sender, report->route, report->counts);
     }
+}
+
+void move_driver::logCounts(running_move &move, const move_observations &all, time_point now) const
+{
+    const auto counts = all.step.find(ALL_ROUTES);
+    if (counts == all.step.end() || now - move.countsLoggedAt < COUNTS_INTERVAL) {
+        return;
+    }
+    move.countsLoggedAt = now;
+    const version_counts &oldVersion = counts->second.oldVersion;
+    const version_counts &newVersion = counts->second.newVersion;
+    logInfo("move.counts",
+            {{"service", move.order.service.str()},
+             {"target", move.order.target.str()},
+             {"phase", toString(move.controller.phaseAt(now))},
+             {"old_answers", std::to_string(oldVersion.answers)},
+             {"old_errors", std::to_string(oldVersion.errors)},
+             {"new_answers", std::to_string(newVersion.answers)},
+             {"new_errors", std::to_string(newVersion.errors)}});
+}
+
+move_observations move_driver::countsOfAllNodes(const running_move &move, move_observations own)
+{
+    move_observations sum = std::move(own);
+    sum.merge({sum.moveId, sum.sharePercent, move.peerCounts.total(), {}});
     return sum;
 }
 
@@ -223,6 +268,12 @@
     publishShares(now());
 }
 
+void move_driver::approveTarget(running_move &move, const std::string &reason)
+{
+    move.approved = true;
+    m_peers.publish(makeApprovedVersionFact({move.order.service, move.order.target, move.order.moveId, reason}));
+}
+
 void move_driver::writeStatus(running_move &move, move_outcome recorded, const std::string &reason, time_point now)
 {
     if (move.writeDueSince == time_point{}) {
--- a/tier/move_driver.h
+++ b/tier/move_driver.h
@@ -12,6 +12,7 @@
 #include "policy/canary_limits.h"
 #include "policy/fact.h"
 #include "policy/fault_detector.h"
+#include "policy/move_count_ledger.h"
 #include "policy/timed_move_controller.h"
 #include "policy/version_share.h"
 
@@ -24,9 +25,11 @@
 /**
  * Carries out the version moves that operators order through the store.
  *
- * Every node splits its own requests between the versions by its own clock, counts their answers, and publishes the counts to its peers. Each node decides by
- * the sum of all counts. A node that finds the target version faulty publishes that to all nodes at once, so that the target gets no more requests anywhere,
- * and records the rollback in the store. Nodes that would write the same status wait according to their rank, so that usually only the first one writes.
+ * Every node splits its own requests between the versions by its own clock, counts their answers, and sends the counts directly to the judges, the first nodes
+ * by rank. Gossip would repeat each count at every node, which exceeds its rate limit where many nodes share the requests. The judges decide by the sum of all
+ * counts. A node that finds the target version faulty publishes that to all nodes at once, so that the target gets no more requests anywhere, and records the
+ * rollback in the store. A move is only recorded as done after a judge has approved the version. Nodes that would write the same status wait according to
+ * their rank, so that usually only the first one writes.
  */
 class move_driver
 {
@@ -37,8 +40,12 @@
         std::function<void(fact)> publish;
         std::function<std::vector<fact>(fact_kind)> facts; ///< All known facts of a kind, including those of this node.
         std::function<std::size_t()> rank; ///< The number of live nodes whose ids sort before this node's.
+        std::function<void(const std::string &)> sendToJudges; ///< Sends a message to the other nodes among the first JUDGES by rank.
     };
 
+    /** Number of nodes that judge moves; more than one, because a judge may be cut off or restart. */
+    static constexpr std::size_t JUDGES = 3;
+
     move_driver(store_client &store, tier_blackboard &board, node_id self);
 
     void setPeers(peer_access peers) { m_peers = std::move(peers); }
@@ -56,8 +63,10 @@
     bool hasMove(const service_id &service) const { return m_moves.contains(service); }
     /** Counts an answer of a server that runs @p version of the service; ignored unless the service has a move without a recorded end. */
     void record(const service_id &service, const version_id &version, sub_request_sample sample);
-    /** Applies a peer's fact that the target version of a move is faulty. */
+    /** Applies a peer's fact that the target version of a move is faulty or was approved. */
     void applyPeerFact(const fact &peerFact);
+    /** Applies a peer's report of its answer counts; malformed ones are logged and ignored. */
+    void applyCountReport(const node_id &sender, const std::string &payload);
     /** Evaluates all running moves and writes their due status to the store; must be called a few times a second. */
     void runDue(time_point now);
     /** The number of moves without a recorded end. */
@@ -73,16 +82,24 @@
         fault_detector detector;
         std::uint64_t answers = 0; ///< Answers of both versions that this node received.
         std::string fault; ///< Why the target version gets no requests; empty while no fault is known.
-        time_point countsPublishedAt{};
+        bool approved = false; ///< A judge found no fault until the end of the move.
+        move_count_ledger peerCounts;
+        counts_by_route reported; ///< The counts that were last sent to the judges.
+        time_point countsReportedAt{};
+        time_point allCountsReportedAt{};
+        time_point countsLoggedAt{};
         time_point writeDueSince{}; ///< Since when a status has been due to be written to the store; the epoch if none is.
         time_point writtenAt{}; ///< Start of the last status write, whether it succeeded or not.
         bool writing = false; ///< A status write has no answer yet.
     };
 
     void run(running_move &move, time_point now);
-    void publishCounts(running_move &move, const move_observations &own, time_point now);
-    move_observations countsOfAllNodes(const running_move &move, move_observations own) const;
+    void reportCounts(running_move &move, const move_observations &own, time_point now);
+    void logCounts(running_move &move, const move_observations &all, time_point now) const;
+    static move_observations countsOfAllNodes(const running_move &move, move_observations own);
+    bool isJudge() const { return m_peers.rank() < JUDGES; }
     void stopTarget(running_move &move, const std::string &reason);
+    void approveTarget(running_move &move, const std::string &reason);
     void writeStatus(running_move &move, move_outcome recorded, const std::string &reason, time_point now);
     void publishShares(time_point now);
     version_share shareOf(const running_move &move, time_point now) const;
--- a/tier/peer_membership.cpp
+++ b/tier/peer_membership.cpp
@@ -183,6 +183,10 @@
     if (bytes.size() <= envelope_codec::MAX_DATAGRAM_BYTES && envelope_codec::decode(bytes, envelope)) {
         message = m_codec.open(envelope, from, wallClockMs(), &m_guard, reason);
     }
+    if (const auto handler = message ? m_onMessage.find(message->kind) : m_onMessage.end(); handler != m_onMessage.end()) {
+        handler->second(message->sender, message->payload);
+        return;
+    }
     const auto gossip = message && message->kind == message_kind::gossip ? decodeGossip(message->payload) : std::nullopt;
     if (!gossip) {
         logWarning("peers.datagram_refused", {{"from", from}, {"reason", toString(reason)}});
@@ -215,14 +219,33 @@
 void peer_membership::send(const std::vector<outgoing_gossip> &datagrams)
 {
     for (const outgoing_gossip &datagram : datagrams) {
-        const auto to = parseEndpoint(datagram.address);
-        const std::string bytes = envelope_codec::encode(m_codec.seal(message_kind::gossip, datagram.recipient, encodeGossip(datagram.message)));
-        if (!to || bytes.size() > envelope_codec::MAX_DATAGRAM_BYTES) {
-            logError("peers.datagram_not_sent", {{"address", datagram.address}, {"bytes", std::to_string(bytes.size())}});
-            continue;
+        sendDatagram(datagram.address, datagram.recipient, message_kind::gossip, encodeGossip(datagram.message));
+    }
+}
+
+void peer_membership::sendDatagram(const std::string &address, const node_id &recipient, message_kind kind, std::string payload)
+{
+    const auto to = parseEndpoint(address);
+    const std::string bytes = envelope_codec::encode(m_codec.seal(kind, recipient, std::move(payload)));
+    if (!to || bytes.size() > envelope_codec::MAX_DATAGRAM_BYTES) {
+        logError("peers.datagram_not_sent", {{"address", address}, {"bytes", std::to_string(bytes.size())}});
+        return;
+    }
+    boost::system::error_code ignored; // A datagram that can't be sent counts as lost; the protocol repeats the messages that matter.
+    m_socket.send_to(boost::asio::buffer(bytes), boost::asio::ip::udp::endpoint(to->address(), to->port()), 0, ignored);
+}
+
+void peer_membership::sendToFirst(std::size_t count, message_kind kind, const std::string &payload)
+{
+    std::vector<node_id> nodes = m_engine.nodes().others().live();
+    nodes.push_back(m_self.id);
+    const auto end = nodes.begin() + static_cast<std::ptrdiff_t>(std::min(count, nodes.size()));
+    std::partial_sort(nodes.begin(), end, nodes.end());
+    for (auto id = nodes.begin(); id != end; ++id) {
+        const member *peer = m_engine.nodes().others().find(*id);
+        if (peer) {
+            sendDatagram(peer->peerAddress, *id, kind, payload);
         }
-        boost::system::error_code ignored; // A datagram that can't be sent counts as lost; the protocol repeats the messages that matter.
-        m_socket.send_to(boost::asio::buffer(bytes), boost::asio::ip::udp::endpoint(to->address(), to->port()), 0, ignored);
     }
 }
 
--- a/tier/peer_membership.h
+++ b/tier/peer_membership.h
@@ -38,6 +38,10 @@
 
     /** Sets the newest store revision that this node has seen; it is announced to the peers. */
     void setNewestRevision(object_version revision) { m_engine.setConfigVersion(config_version(revision.value())); }
+    /** Sends a message to the live nodes among the first @p count by id, except this one. It may be lost. */
+    void sendToFirst(std::size_t count, message_kind kind, const std::string &payload);
+    /** Sets the handler that is called with each message of the kind from a peer. */
+    void onMessage(message_kind kind, std::function<void(const node_id &, const std::string &)> handler) { m_onMessage[kind] = std::move(handler); }
     /** Publishes a fact to all nodes; see fact_table. */
     void publish(fact item);
     /** All unexpired facts of a kind, including those of this node. */
@@ -64,6 +68,7 @@
     void handleDatagram(const std::string &from, std::string_view bytes);
     void tick();
     void send(const std::vector<outgoing_gossip> &datagrams);
+    void sendDatagram(const std::string &address, const node_id &recipient, message_kind kind, std::string payload);
     void handleEvents();
 
     boost::asio::ip::udp::socket m_socket;
@@ -77,6 +82,7 @@
     std::map<node_id, time_point> m_lastLive; ///< When each node was last live; recent ones only.
     std::function<void(object_version)> m_onNewerPeerRevision;
     std::function<void(const fact &)> m_onFact;
+    std::map<message_kind, std::function<void(const node_id &, const std::string &)>> m_onMessage;
     std::array<char, envelope_codec::MAX_DATAGRAM_BYTES + 1> m_buffer{};
     boost::asio::ip::udp::endpoint m_sender;
 };
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -98,7 +98,9 @@
     m_peers.onFact([this](const fact &peerFact) { handlePeerFact(peerFact); });
     m_moveDriver.setPeers({[this](fact ownFact) { m_peers.publish(std::move(ownFact)); },
                            [this](fact_kind kind) { return m_peers.facts(kind); },
-                           [this] { return m_peers.rank(); }});
+                           [this] { return m_peers.rank(); },
+                           [this](const std::string &report) { m_peers.sendToFirst(move_driver::JUDGES, message_kind::move_counts, report); }});
+    m_peers.onMessage(message_kind::move_counts, [this](const node_id &sender, const std::string &report) { m_moveDriver.applyCountReport(sender, report); });
     m_crashController.setFactPublisher([this](fact ownFact) { m_peers.publish(std::move(ownFact)); });
     applyBootSettings();
     m_storeSync.start(m_boot.firstStart);
@@ -196,7 +198,7 @@
 {
     if (peerFact.kind == fact_kind::suspected_request) {
         m_crashController.applyPeerFact(peerFact);
-    } else if (peerFact.kind == fact_kind::bad_version) {
+    } else if (peerFact.kind == fact_kind::bad_version || peerFact.kind == fact_kind::approved_version) {
         m_moveDriver.applyPeerFact(peerFact);
     }
 }
