Serve callers only once all lists of the store have been read

A node that started while the store refused some of its calls served as soon as it had the configuration and the list of backend servers. Until the orders of moves were read, a bad version that had been rolled back got its full share through that node; until the failure domains that are taken out were read, their servers got requests.

Cause: readiness asked for two of the four lists. All four are read at the start at the same time, so this showed only when single calls failed.

Change: the node answers 503 with Retry-After, and is not ready, until the configuration, the servers, the excluded domains and the moves are known.

Test: tier_tests/startedNodeServesOnlyWithAllLists failed before for the rows of domains and moves (200 instead of 503 for each of five queries), passes now.

--- a/tests/stand_ins/site_store.cpp
+++ b/tests/stand_ins/site_store.cpp
@@ -162,6 +162,10 @@
     path = path.substr(sizeof(OBJECTS_PREFIX) - 1);
     const std::string kind = path.substr(0, path.find('/'));
     const std::string name = kind.size() < path.size() ? path.substr(kind.size() + 1) : "";
+    if (kind == m_refusedKind) {
+        exchange->respond(makeResponse(503, nullptr));
+        return;
+    }
     if (request.method() != http::verb::get) {
         write(kind, name, *exchange);
         return;
--- a/tests/stand_ins/site_store.h
+++ b/tests/stand_ins/site_store.h
@@ -33,6 +33,8 @@
     std::size_t count(const std::string &kind) const;
 
     void setCondition(condition newCondition);
+    /** Answers each call for objects of this kind with 503; an empty text ends that. */
+    void refuseKind(const std::string &kind) { m_refusedKind = kind; }
     void setDelay(std::chrono::milliseconds delay) { m_delay = delay; }
     /** Discards the change history and answers all watches with 410; later watches from an older revision get 410 too. */
     void discardHistory();
@@ -74,6 +76,7 @@
     std::uint64_t m_compactedRevision = 0; ///< Changes up to this revision were discarded; watches from an older one get 410.
     std::uint64_t m_calls = 0;
     std::chrono::milliseconds m_delay{0};
+    std::string m_refusedKind;
     condition m_condition = condition::fault_free;
 };
 
--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -329,6 +329,24 @@
     BOOST_TEST(site_emulator::waitFor([&] { return running.site.query("node-0").status == 404; }));
 }
 
+// Guards against a started node that sends requests before it knows the servers, the excluded failure domains or the version moves.
+BOOST_DATA_TEST_CASE(startedNodeServesOnlyWithAllLists, boost::unit_test::data::make({"servers", "evacuations", "rollouts"}), kind)
+{
+    running_site running(1);
+    running.site.onLoop([&] { running.site.store().refuseKind(kind); });
+    running.site.startNode("late", "zone-0");
+    BOOST_REQUIRE(site_emulator::waitFor([&] { return running.site.logOf("late").find("event=configuration.in_force") != std::string::npos; }));
+    std::this_thread::sleep_for(milliseconds(200));
+    for (int i = 0; i < 5; ++i) {
+        const site_caller::answer answer = running.site.query("late");
+        BOOST_TEST(answer.status == 503U);
+        BOOST_TEST(answer.retryAfterS > 0);
+    }
+    running.site.onLoop([&] { running.site.store().refuseKind(""); });
+    BOOST_TEST(running.site.waitReady("late"));
+    BOOST_TEST(running.site.query("late").status == 200U);
+}
+
 // Guards against a node that applies an older configuration version after a newer one.
 BOOST_AUTO_TEST_CASE(olderConfigurationsAreIgnored)
 {
--- a/tier/caller_service.cpp
+++ b/tier/caller_service.cpp
@@ -47,8 +47,8 @@
         return;
     }
     const std::shared_ptr<const route_matcher> routes = m_dependencies.board.routes;
-    if (!routes || !m_dependencies.board.serversKnown) {
-        refuse(*exchange, 503, request->id, routes ? "backend_servers_unknown" : "configuration_unknown", BUSY_RETRY_AFTER);
+    if (!m_dependencies.board.knowsTargets()) {
+        refuse(*exchange, 503, request->id, routes ? "targets_unknown" : "configuration_unknown", BUSY_RETRY_AFTER);
         return;
     }
     const request_route *route = routes->find(request->host, request->target);
--- a/tier/store_sync_controller.cpp
+++ b/tier/store_sync_controller.cpp
@@ -75,6 +75,7 @@
                              m_excludedDomains.insert(failure_domain_id(object.name));
                          }
                      }
+                     m_board.domainsKnown = true;
                      publishExcludedDomains();
                  },
                  [this](const object_changes &changes) {
@@ -96,6 +97,7 @@
                        }
                    }
                    m_moveDriver.replaceAll(orders);
+                   m_board.movesKnown = true;
                },
                [this](const object_changes &changes) {
                    for (const object_change &change : changes.changes) {
--- a/tier/tier_blackboard.h
+++ b/tier/tier_blackboard.h
@@ -21,14 +21,18 @@
 
     std::shared_ptr<const route_matcher> routes; ///< Routes of the configuration in force; null until the first one is known.
     bool serversKnown = false; ///< True once the platform's list of backend servers has been read.
+    bool domainsKnown = false; ///< True once the list of excluded failure domains has been read.
+    bool movesKnown = false; ///< True once the list of version moves has been read.
     bool stopping = false; ///< True once a graceful shutdown has begun.
     backend_table servers;
     shared_retry_budget budget;
     route_latency_tracker latencies;
     caller_wait_estimator elapsed;
 
+    /** True if the node knows where it may send requests; a started node must not send any before. */
+    bool knowsTargets() const { return routes && serversKnown && domainsKnown && movesKnown; }
     /** True if the node can serve callers. */
-    bool ready() const { return routes && serversKnown && !stopping; }
+    bool ready() const { return knowsTargets() && !stopping; }
 };
 
 } // namespace snipefall
