Give a server no requests for the time that it asks for in Retry-After

A server that turned requests away with 503 and Retry-After got the next ones all the same, and callers whose request no server could take waited for it until their deadline or were told to come back in 100 ms, again and again.

Change: the time is read from every refusal and kept with the run of the server, as what else it says of itself. No request, retry, hedge or health check goes there before. backend_table tells when a service is available, so that a request waits for a server that is back before the target latency, and is otherwise refused at once: a query as soon as too many of its shards can't take it in time, before anything is sent. Its Retry-After is the time at which enough servers are available. Refused callers are told different times, in the order of their refusals and as far apart as this node's share of the servers' capacity needs; a caller that can't wait so long takes no place. A node whose servers only pause doesn't count as isolated.

--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -63,8 +63,8 @@
     if (const auto removed = m_removed.find(entry.id); removed != m_removed.end()) {
         const removed_server &before = removed->second;
         const bool sameRun = before.startedMs == entry.startedMs;
-        added.run.leaving = sameRun && before.run.leaving;
-        added.run.replaced = sameRun && before.run.replaced && before.address == entry.address && before.sequence >= entry.sequence;
+        added.run = sameRun ? before.run : run_state();
+        added.run.replaced = added.run.replaced && before.address == entry.address && before.sequence >= entry.sequence;
         m_removed.erase(removed);
     }
     added.coldUntil = now + entry.warmUpLeft;
@@ -92,8 +92,8 @@
     if (!sameRun || !sameAddress) {
         current.health.reset();
     }
-    current.run.leaving = sameRun && current.run.leaving;
-    current.run.replaced = sameRun && sameAddress && current.run.replaced && current.entry.sequence >= entry.sequence;
+    current.run = sameRun ? current.run : run_state();
+    current.run.replaced = current.run.replaced && sameAddress && current.entry.sequence >= entry.sequence;
     current.entry = entry;
     current.expiresAt.reset();
     current.coldUntil = now + entry.warmUpLeft;
@@ -144,18 +144,23 @@
     }
 }
 
-bool backend_table::noteAnnouncement(const backend_server_id &id, const server_announcement &announced)
+bool backend_table::noteAnnouncement(const backend_server_id &id, const server_announcement &announced, time_point now)
 {
     const auto known = m_servers.find(id);
     run_state *run = known == m_servers.end() ? nullptr : &known->second.run;
     if (const auto removed = m_removed.find(id); !run && removed != m_removed.end()) {
         run = &removed->second.run;
     }
-    if (!run || !announced.leaving || run->leaving) {
+    if (!run) {
         return false;
     }
-    run->leaving = true;
-    return true;
+    const bool leavesNow = announced.leaving && !run->leaving;
+    const bool pausesNow = announced.pause && now >= run->pausedUntil;
+    run->leaving = run->leaving || announced.leaving;
+    if (announced.pause) {
+        run->pausedUntil = std::max(run->pausedUntil, now + *announced.pause);
+    }
+    return leavesNow || pausesNow;
 }
 
 void backend_table::noteStoreUnavailable(time_point now)
@@ -264,7 +269,7 @@
     candidates found;
     double bestCost = 0;
     for (server *candidate : servers) {
-        if (!usable(*candidate) || !versionAllows(*candidate) || !warmUpAllows(*candidate, now)) {
+        if (availableAt(*candidate, now) > now) {
             continue;
         }
         if (versions.target && (candidate->entry.version == *versions.target) != versions.wantsTarget) {
@@ -362,21 +367,56 @@
         found->second.begin(), found->second.end(), [&](const server *candidate) { return usable(*candidate) && candidate->entry.version == version; }));
 }
 
-bool backend_table::hasServer(const service_id &service, time_point now) const
+time_point backend_table::availableAt(const server &candidate, time_point now) const
 {
-    const auto found = m_byService.find(service);
-    if (found == m_byService.end()) {
-        return false;
+    if (!usable(candidate) || !versionAllows(candidate)) {
+        return time_point::max();
     }
-    return std::any_of(found->second.begin(), found->second.end(), [&](const server *candidate) {
-        return usable(*candidate) && versionAllows(*candidate) && warmUpAllows(*candidate, now);
-    });
+    const time_point at = std::max(now, candidate.run.pausedUntil);
+    // A cold server that has had its requests of this second may get more in the next one.
+    return warmUpAllows(candidate, at) ? at : std::chrono::time_point_cast<duration>(std::chrono::floor<std::chrono::seconds>(at) + std::chrono::seconds(1));
 }
 
-bool backend_table::mayGetRequests(const backend_server_id &id, time_point now) const
+time_point backend_table::availableAt(const service_id &service, time_point now) const
+{
+    time_point earliest = time_point::max();
+    if (const auto found = m_byService.find(service); found != m_byService.end()) {
+        for (const server *candidate : found->second) {
+            earliest = std::min(earliest, availableAt(*candidate, now));
+        }
+    }
+    return earliest;
+}
+
+time_point backend_table::reachableAt(const service_id &service, time_point now) const
+{
+    time_point earliest = time_point::max();
+    if (const auto found = m_byService.find(service); found != m_byService.end()) {
+        for (const server *candidate : found->second) {
+            if (candidate->health.unreachable(now)) {
+                continue;
+            }
+            earliest = std::min(earliest, availableAt(*candidate, now));
+        }
+    }
+    return earliest;
+}
+
+time_point backend_table::serverAvailableAt(const backend_server_id &id, time_point now) const
 {
     const auto known = m_servers.find(id);
-    return known != m_servers.end() && usable(known->second) && versionAllows(known->second) && warmUpAllows(known->second, now);
+    return known == m_servers.end() ? time_point::max() : availableAt(known->second, now);
+}
+
+duration backend_table::requestInterval(const service_id &service, duration medianLatency) const
+{
+    unsigned slots = 0;
+    if (const auto found = m_byService.find(service); found != m_byService.end()) {
+        for (const server *candidate : found->second) {
+            slots += usable(*candidate) && versionAllows(*candidate) ? candidate->entry.slots : 0;
+        }
+    }
+    return medianLatency * static_cast<std::int64_t>(m_nodeCount) / std::max(slots, 1U);
 }
 
 bool backend_table::hasReachableServer(const service_id &service, time_point now) const
@@ -397,6 +437,12 @@
     return unreachableServices > 0 && static_cast<double>(unreachableServices) >= ISOLATION_SHARE * static_cast<double>(m_byService.size());
 }
 
+bool backend_table::isPaused(const backend_server_id &id, time_point now) const
+{
+    const auto known = m_servers.find(id);
+    return known != m_servers.end() && now < known->second.run.pausedUntil;
+}
+
 backend_health *backend_table::health(const backend_server_id &id)
 {
     const auto known = m_servers.find(id);
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -49,9 +49,9 @@
     /**
      * Applies what the server @p id stated in an answer. It holds for this run of the server, whatever the store reports of the run later.
      *
-     * Returns true if it was not known before.
+     * Returns true if it changes which requests the server gets.
      */
-    bool noteAnnouncement(const backend_server_id &id, const server_announcement &announced);
+    bool noteAnnouncement(const backend_server_id &id, const server_announcement &announced, time_point now);
     /** Records that the store could not be reached; meanwhile it may lose the entries of live servers. */
     void noteStoreUnavailable(time_point now);
     /** Records that the store has answered; ends the outage, if there was one. */
@@ -79,15 +79,21 @@
         const service_id &service, const std::vector<backend_server_id> &excluded, suspended_server_policy suspended, duration medianLatency, time_point now);
     /** As choose(), but only among the servers with these @p ids; a suspended one is chosen if no other is available. */
     std::optional<backend_choice> chooseAmong(const service_id &service, const std::vector<backend_server_id> &ids, duration medianLatency, time_point now);
-    /** True if the service has a server that may get requests, even if it is suspended. */
-    bool hasServer(const service_id &service, time_point now) const;
-    /** True if the server may get requests, even if it is suspended. */
-    bool mayGetRequests(const backend_server_id &id, time_point now) const;
+    /** The earliest time, @p now or later, at which a server of the service may get a request, even if it is suspended; time_point::max() if none may. */
+    time_point availableAt(const service_id &service, time_point now) const;
+    /** As availableAt(), but without the servers that are suspended as unreachable. */
+    time_point reachableAt(const service_id &service, time_point now) const;
+    /** As availableAt(), for one server. */
+    time_point serverAvailableAt(const backend_server_id &id, time_point now) const;
+    /** The mean time between the requests that this node's share of the capacity of the service's servers allows, estimated from their slots. */
+    duration requestInterval(const service_id &service, duration medianLatency) const;
     /** True if the service has a server that may get requests and is not suspended as unreachable. */
     bool hasReachableServer(const service_id &service, time_point now) const;
     /** True if so many services have no reachable server that this node itself is probably isolated by a network partition. */
     bool seemsIsolated(time_point now) const;
 
+    /** True while the server wants no requests from this node. */
+    bool isPaused(const backend_server_id &id, time_point now) const;
     /** The health of a server; null if the server is not in the table. */
     backend_health *health(const backend_server_id &id);
     /** The largest number of connections that this node may open to each server of the service, its share of the server's limit. */
@@ -107,6 +113,7 @@
     struct run_state
     {
         bool leaving = false; ///< The server announced that it is shutting down.
+        time_point pausedUntil{}; ///< The server wants no requests before.
         bool replaced = false; ///< Another server answers at its address.
     };
     struct server
@@ -141,8 +148,10 @@
         server *bestSuspended = nullptr; ///< The server whose suspension ends first.
     };
 
-    /** True if the server may get requests: not draining or leaving, not replaced, and in no excluded failure domain. */
+    /** True if the server may get requests at some time: not draining or leaving, not replaced, and in no excluded failure domain. */
     bool usable(const server &candidate) const;
+    /** The earliest time, @p now or later, at which the server may get a request; time_point::max() if never. */
+    time_point availableAt(const server &candidate, time_point now) const;
     /** True if requests may go to servers of this version of the service. */
     bool versionAllows(const server &candidate) const;
     /** True unless the server is cold and this node has used up its share of the server's warm-up rate. */
--- a/policy/request_execution.cpp
+++ b/policy/request_execution.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "policy/return_schedule.h"
 #include "policy/route_latency_tracker.h"
 #include "policy/shared_retry_budget.h"
 
@@ -27,8 +28,10 @@
 constexpr duration MIN_ATTEMPT_TIMEOUT = std::chrono::milliseconds(300);
 /** A query that reaches its minimum coverage only after its target waits for its last shards for the target latency divided by this. */
 constexpr int EXTRA_WAIT_DIVISOR = 2;
-/** Retry-After of a request that was not run; a quarter of the target latency is used instead if that is shorter. */
+/** Retry-After while it isn't known when servers become available; a quarter of the target latency is used instead if that is shorter. */
 constexpr duration RETRY_AFTER = std::chrono::milliseconds(100);
+/** Callers wait for a Retry-After of at most the time until their deadline divided by this. */
+constexpr int CALLER_WAIT_DIVISOR = 3;
 /** Tolerance for rounding errors when a share of answered parts is compared with the minimum coverage. */
 constexpr double SHARE_TOLERANCE = 1e-9;
 
@@ -39,11 +42,13 @@
                                      const request_times &times,
                                      backend_table &servers,
                                      shared_retry_budget &budget,
+                                     return_schedule &returns,
                                      const route_latency_tracker &latencies)
     : m_route(route)
     , m_times(times)
     , m_servers(servers)
     , m_budget(budget)
+    , m_returns(returns)
 {
     const duration defaultLatency = route.targetLatency / DEFAULT_LATENCY_DIVISOR;
     m_medianLatency = latencies.medianLatency(route.name, defaultLatency);
@@ -58,16 +63,18 @@
 
 execution_step request_execution::start(time_point now)
 {
-    std::size_t reachable = 0;
+    std::size_t available = 0;
+    std::size_t unreachable = 0;
     for (const part_state &part : m_parts) {
         m_budget.countRequest(part.service, now);
-        reachable += m_servers.hasReachableServer(part.service, now) ? 1 : 0;
+        const time_point at = m_servers.reachableAt(part.service, now);
+        available += at <= latestSend(now) ? 1 : 0;
+        unreachable += at == time_point::max() ? 1 : 0;
     }
-    if (m_route.isQuery() ? !meetsMinCoverage(reachable) : reachable == 0) {
-        // Fails immediately, because another node may be able to reach the servers that this one can't.
+    if (!isSufficient(available)) {
+        // Fails immediately: another node may be able to reach the servers that this one can't, and servers that want no requests now may take them later.
         execution_step step;
-        finish(execution_result::kind::not_run, "servers_unreachable", step);
-        step.result->retryAfter = std::min<duration>(RETRY_AFTER, m_route.targetLatency / 4);
+        finishNotRun(isSufficient(m_parts.size() - unreachable) ? "servers_unavailable" : "servers_unreachable", now, step);
         return step;
     }
     return advance(now);
@@ -201,7 +208,13 @@
         send(index, *server, now, step);
         return;
     }
-    part.nextAttemptAt = now + NO_SERVER_RETRY_DELAY;
+    postponeAttempt(part, now);
+}
+
+void request_execution::postponeAttempt(part_state &part, time_point now)
+{
+    const time_point availableAt = serverAvailableAt(part, now);
+    part.nextAttemptAt = availableAt > now ? std::min(availableAt, now + NO_SERVER_RETRY_DELAY) : now + NO_SERVER_RETRY_DELAY;
     m_wakeAt = std::min(m_wakeAt, part.nextAttemptAt);
 }
 
@@ -217,8 +230,7 @@
     }
     const auto server = chooseRetryServer(part, now);
     if (!server) {
-        part.nextAttemptAt = now + NO_SERVER_RETRY_DELAY;
-        m_wakeAt = std::min(m_wakeAt, part.nextAttemptAt);
+        postponeAttempt(part, now);
         return;
     }
     const bool arrivedBefore =
@@ -318,13 +330,22 @@
     return servers;
 }
 
-bool request_execution::hasServerFor(const part_state &part, time_point now) const
+time_point request_execution::latestSend(time_point now) const
+{
+    return std::max(now, m_times.target - m_medianLatency);
+}
+
+time_point request_execution::serverAvailableAt(const part_state &part, time_point now) const
 {
     const std::vector<backend_server_id> servers = serversThatMayHaveRun(part);
     if (servers.size() < m_route.maxServers) {
-        return m_servers.hasServer(part.service, now);
+        return m_servers.availableAt(part.service, now);
+    }
+    time_point earliest = time_point::max();
+    for (const backend_server_id &id : servers) {
+        earliest = std::min(earliest, m_servers.serverAvailableAt(id, now));
     }
-    return std::any_of(servers.begin(), servers.end(), [&](const backend_server_id &id) { return m_servers.mayGetRequests(id, now); });
+    return earliest;
 }
 
 bool request_execution::cannotBeAnswered(const part_state &part, time_point now) const
@@ -332,7 +353,7 @@
     if (part.answer != NONE || part.inFlight > 0) {
         return false;
     }
-    return part.noFurtherAttempts || !hasServerFor(part, now);
+    return part.noFurtherAttempts || serverAvailableAt(part, now) > latestSend(now);
 }
 
 bool request_execution::meetsMinCoverage(std::size_t answered) const
@@ -348,7 +369,7 @@
         answered += part.answer != NONE ? 1 : 0;
         open += part.answer == NONE && !cannotBeAnswered(part, now) ? 1 : 0;
     }
-    const bool sufficient = m_route.isQuery() ? meetsMinCoverage(answered) : answered > 0;
+    const bool sufficient = isSufficient(answered);
     if (sufficient && !m_sufficientSince) {
         m_sufficientSince = now;
     }
@@ -365,8 +386,7 @@
         }
         m_wakeAt = std::min(m_wakeAt, waitUntil);
     }
-    const bool possible = m_route.isQuery() ? meetsMinCoverage(answered + open) : answered + open > 0;
-    if (!possible || now >= m_times.end) {
+    if (!isSufficient(answered + open) || now >= m_times.end) {
         finishWithoutAnswer(now, step);
     }
 }
@@ -381,6 +401,31 @@
     }
 }
 
+void request_execution::finishNotRun(std::string reason, time_point now, execution_step &step)
+{
+    finish(execution_result::kind::not_run, std::move(reason), step);
+    step.result->retryAfter = retryAfter(now);
+}
+
+duration request_execution::retryAfter(time_point now) const
+{
+    std::vector<std::pair<time_point, const part_state *>> availability;
+    for (const part_state &part : m_parts) {
+        availability.emplace_back(m_servers.availableAt(part.service, now), &part);
+    }
+    std::sort(availability.begin(), availability.end());
+    std::size_t needed = 1;
+    while (needed < m_parts.size() && !isSufficient(needed)) {
+        ++needed;
+    }
+    const auto [availableAt, part] = availability[needed - 1];
+    if (availableAt <= now || availableAt == time_point::max()) {
+        return std::min<duration>(RETRY_AFTER, m_route.targetLatency / 4);
+    }
+    const time_point latest = now + (m_times.deadline - now) / CALLER_WAIT_DIVISOR;
+    return m_returns.reserve(part->service, availableAt, m_servers.requestInterval(part->service, m_medianLatency), latest) - now;
+}
+
 void request_execution::finishWithoutAnswer(time_point now, execution_step &step)
 {
     if (!m_route.isQuery() && m_parts.front().serverError != NONE && m_parts.front().inFlight == 0) {
@@ -390,8 +435,7 @@
     }
     const bool ran = std::any_of(m_parts.begin(), m_parts.end(), [](const part_state &part) { return part.mayHaveRun || part.inFlight > 0; });
     if (!ran) {
-        finish(execution_result::kind::not_run, now >= m_times.end ? "no_server_in_time" : "no_server", step);
-        step.result->retryAfter = std::min<duration>(RETRY_AFTER, m_route.targetLatency / 4);
+        finishNotRun(now >= m_times.end ? "no_server_in_time" : "no_server", now, step);
         return;
     }
     finish(now >= m_times.end ? execution_result::kind::timed_out : execution_result::kind::failed, "too_few_answers", step);
--- a/policy/request_execution.h
+++ b/policy/request_execution.h
@@ -15,6 +15,7 @@
 namespace snipefall {
 
 class backend_table;
+class return_schedule;
 class route_latency_tracker;
 class shared_retry_budget;
 
@@ -27,12 +28,13 @@
 class request_execution
 {
 public:
-    /** @p services holds one service for each part. @p route, @p servers and @p budget must outlive the execution. */
+    /** @p services holds one service for each part. @p route, @p servers, @p budget and @p returns must outlive the execution. */
     request_execution(const request_route &route,
                       std::vector<service_id> services,
                       const request_times &times,
                       backend_table &servers,
                       shared_retry_budget &budget,
+                      return_schedule &returns,
                       const route_latency_tracker &latencies);
 
     /** Sends the first sub-request of each part, or ends the request immediately if too few parts have a reachable server. Called once. */
@@ -78,8 +80,12 @@
     std::vector<backend_server_id> triedServers(const part_state &part) const;
     std::vector<backend_server_id> serversThatMayHaveRun(const part_state &part) const;
     std::optional<backend_choice> chooseRetryServer(const part_state &part, time_point now);
-    /** Whether some server may still get an attempt of the part, now or when it is no longer suspended. */
-    bool hasServerFor(const part_state &part, time_point now) const;
+    /** The latest time until which a part waits for a server to become available; its answer can still be in time then. */
+    time_point latestSend(time_point now) const;
+    /** The earliest time at which some server may get an attempt of the part, even if it is suspended; time_point::max() if none may. */
+    time_point serverAvailableAt(const part_state &part, time_point now) const;
+    /** Delays the next attempt of a part for which no server could be chosen. */
+    void postponeAttempt(part_state &part, time_point now);
     /** Whether the part has no answer and nothing in flight, and either gets no further attempt or has no server. */
     bool cannotBeAnswered(const part_state &part, time_point now) const;
     /** Whether connections of a query were lost and no server has answered yet, so that the query itself may crash the servers that run it. */
@@ -95,6 +101,11 @@
     void finishIfDue(time_point now, execution_step &step);
     void finish(execution_result::kind outcome, std::string reason, execution_step &step);
     void finishWithAnswers(execution_step &step);
+    /** Ends a request that no server has run, with the time after which the caller may come back. */
+    void finishNotRun(std::string reason, time_point now, execution_step &step);
+    duration retryAfter(time_point now) const;
+    /** Whether this many answered parts make up a result. */
+    bool isSufficient(std::size_t answered) const { return m_route.isQuery() ? meetsMinCoverage(answered) : answered > 0; }
     void finishWithoutAnswer(time_point now, execution_step &step);
     duration attemptTimeout() const;
 
@@ -102,6 +113,7 @@
     request_times m_times;
     backend_table &m_servers;
     shared_retry_budget &m_budget;
+    return_schedule &m_returns;
     std::vector<part_state> m_parts;
     std::vector<attempt> m_attempts;
     duration m_medianLatency;
--- a/tests/policy/test_backend_table.cpp
+++ b/tests/policy/test_backend_table.cpp
@@ -79,7 +79,7 @@
     BOOST_TEST(chosenServer(table, START) == "a");
     table.setExcludedDomains({OTHER_DOMAIN});
     BOOST_TEST(chosenServer(table, START) == "");
-    BOOST_TEST(!table.hasServer(SERVICE, START));
+    BOOST_TEST((table.availableAt(SERVICE, START) == time_point::max()));
     table.setExcludedDomains({});
     backend_entry draining = entryOf("a", OTHER_DOMAIN);
     draining.draining = true;
@@ -112,10 +112,10 @@
 {
     backend_table table(OWN_DOMAIN, 1);
     table.apply(entryOf("a"), START);
-    BOOST_TEST(table.noteAnnouncement(backend_server_id("a"), {true}));
-    BOOST_TEST(!table.noteAnnouncement(backend_server_id("a"), {true}));
+    BOOST_TEST(table.noteAnnouncement(backend_server_id("a"), {true, std::nullopt}, START));
+    BOOST_TEST(!table.noteAnnouncement(backend_server_id("a"), {true, std::nullopt}, START));
     BOOST_TEST(chosenServer(table, START) == "");
-    BOOST_TEST(!table.hasServer(SERVICE, START));
+    BOOST_TEST((table.availableAt(SERVICE, START) == time_point::max()));
     if (row.relisted) {
         table.remove(backend_server_id("a"), START);
     }
@@ -126,6 +126,23 @@
     BOOST_TEST(chosenServer(table, START) == (row.usable ? "a" : ""));
 }
 
+// Guards against requests within the time for which a server asked for none, also after its entry was missing for a while.
+BOOST_AUTO_TEST_CASE(pausedServersGetNoRequests)
+{
+    backend_table table(OWN_DOMAIN, 1);
+    table.apply(entryOf("a"), START);
+    const time_point end = START + std::chrono::seconds(2);
+    BOOST_TEST(table.noteAnnouncement(backend_server_id("a"), {false, std::chrono::seconds(2)}, START));
+    // A shorter pause doesn't end a longer one.
+    table.noteAnnouncement(backend_server_id("a"), {false, std::chrono::seconds(1)}, START);
+    BOOST_TEST(chosenServer(table, end - duration(1)) == "");
+    BOOST_TEST((table.availableAt(SERVICE, START) == end));
+    table.remove(backend_server_id("a"), START);
+    table.apply(entryOf("a"), START);
+    BOOST_TEST(chosenServer(table, end - duration(1)) == "");
+    BOOST_TEST(chosenServer(table, end) == "a");
+}
+
 // Guards against sending to an address that another server took when the store lists the old entry again.
 BOOST_AUTO_TEST_CASE(reusedAddressIsRememberedWhenTheEntryIsListedAgain)
 {
--- a/tests/policy/test_request_execution.cpp
+++ b/tests/policy/test_request_execution.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "policy/request_execution.h"
+#include "policy/return_schedule.h"
 #include "policy/route_latency_tracker.h"
 #include "policy/shared_retry_budget.h"
 
@@ -48,7 +49,7 @@
 
     request_execution start(execution_step &step)
     {
-        request_execution execution(route, services, times, servers, budget, latencies);
+        request_execution execution(route, services, times, servers, budget, returns, latencies);
         step = execution.start(START);
         return execution;
     }
@@ -58,6 +59,7 @@
     request_times times;
     backend_table servers;
     shared_retry_budget budget;
+    return_schedule returns;
     route_latency_tracker latencies;
 };
 
@@ -235,6 +237,41 @@
     BOOST_TEST(reached.size() == 2U);
 }
 
+// Guards against a query that is sent to some shards although too many others can't take it in time, and against callers that all return at the same time.
+BOOST_AUTO_TEST_CASE(queryIsRefusedWhileTooManyShardsArePaused)
+{
+    request_fixture fixture(4, true, 1);
+    const time_point end = START + milliseconds(200);
+    for (const char *id : {"server-0-0", "server-1-0"}) {
+        fixture.servers.noteAnnouncement(backend_server_id(id), {false, milliseconds(200)}, START);
+    }
+    duration before{};
+    for (int i = 0; i < 5; ++i) {
+        execution_step step;
+        fixture.start(step);
+        BOOST_TEST(step.sends.empty());
+        BOOST_REQUIRE(step.result.has_value());
+        BOOST_TEST((step.result->outcome == execution_result::kind::not_run));
+        BOOST_TEST((step.result->retryAfter >= end - START));
+        BOOST_TEST((step.result->retryAfter > before));
+        before = step.result->retryAfter;
+    }
+}
+
+// Guards against refusing a query whose shards become available before its target latency.
+BOOST_AUTO_TEST_CASE(queryWaitsForShortPauses)
+{
+    request_fixture fixture(4, true, 1);
+    for (const char *id : {"server-0-0", "server-1-0"}) {
+        fixture.servers.noteAnnouncement(backend_server_id(id), {false, milliseconds(10)}, START);
+    }
+    execution_step step;
+    request_execution execution = fixture.start(step);
+    BOOST_TEST(step.sends.size() == 2U);
+    step = execution.tick(START + milliseconds(10));
+    BOOST_TEST(step.sends.size() == 2U);
+}
+
 struct excluded_server_case
 {
     const char *name;
@@ -247,7 +284,10 @@
 }
 
 const excluded_server_case EXCLUDED_SERVER_CASES[] = {
-    {"it leaves", [](backend_table &servers, const backend_server_id &id) { servers.noteAnnouncement(id, {true}); }},
+    {"it leaves",
+     [](backend_table &servers, const backend_server_id &id) {
+         servers.noteAnnouncement(id, {true, std::nullopt}, START);
+     }},
     {"another server has its address", [](backend_table &servers, const backend_server_id &id) { servers.noteAddressReused(id); }},
     {"its version is stopped",
      [](backend_table &servers, const backend_server_id &id) {
--- a/tests/stand_ins/site_backend.h
+++ b/tests/stand_ins/site_backend.h
@@ -45,6 +45,7 @@
     struct announcements
     {
         bool leaving = false;
+        std::chrono::milliseconds pause{0}; ///< Retry-After of refusals; 0 to leave it out.
     };
 
     /** A request whose execution began. */
--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -290,7 +290,7 @@
     running.site.onLoop([&] { running.site.store().setCondition(site_store::condition::silent); });
     site_backend *leaving = running.site.onLoop([&] {
         site_backend *server = running.site.serversOf("shard-0").front();
-        server->setAnnouncements({true});
+        server->setAnnouncements({true, milliseconds(0)});
         return server;
     });
     const auto arrivals = [&] { return running.site.onLoop([&] { return leaving->arrivals(); }); };
@@ -309,6 +309,43 @@
     BOOST_TEST(arrivals() == announced);
 }
 
+// Guards against requests that reach a server during the time for which it asked for none, and against callers that wait for it until their deadline.
+BOOST_AUTO_TEST_CASE(refusingServersGetNoRequestsUntilTheyAskedFor)
+{
+    constexpr milliseconds PAUSE(4000);
+    running_site running(1);
+    running.site.onLoop([&] {
+        for (site_backend *server : running.site.serversOf(site_emulator::UNSHARDED_SERVICE)) {
+            server->setAnnouncements({false, PAUSE});
+            server->setFaults({0, 100, 0, false, milliseconds(0)});
+        }
+    });
+    const auto arrivals = [&] {
+        return running.site.onLoop([&] {
+            std::uint64_t sum = 0;
+            for (site_backend *server : running.site.serversOf(site_emulator::UNSHARDED_SERVICE)) {
+                sum += server->arrivals();
+            }
+            return sum;
+        });
+    };
+    BOOST_TEST(running.site.order("node-0").status == 503U);
+    const auto before = arrivals();
+    BOOST_TEST(before == 3U);
+    double lastRetryAfterS = 0;
+    for (int i = 0; i < 10; ++i) {
+        const site_caller::answer answer = running.site.order("node-0");
+        BOOST_TEST(answer.status == 503U);
+        BOOST_TEST(answer.retryAfterS > 1);
+        BOOST_TEST(answer.retryAfterS <= 4);
+        lastRetryAfterS = answer.retryAfterS;
+    }
+    BOOST_TEST(arrivals() == before);
+    running.setFaults(site_emulator::UNSHARDED_SERVICE, {});
+    std::this_thread::sleep_for(std::chrono::duration<double>(lastRetryAfterS));
+    BOOST_TEST(site_emulator::waitFor([&] { return running.site.order("node-0").status == 200; }));
+}
+
 // Guards against a node that stops serving, or drops servers whose entries the store lost, when the store refuses calls or goes silent.
 BOOST_AUTO_TEST_CASE(nodeServesDuringStoreOutage)
 {
--- a/tier/crash_controller.cpp
+++ b/tier/crash_controller.cpp
@@ -68,6 +68,10 @@
             logInfo("request.crash_not_checked", {{"request", id.str()}, {"server", servers[i].id.str()}, {"reason", "too_many_checks"}});
             return;
         }
+        if (m_board.servers.isPaused(servers[i].id, now())) {
+            logInfo("request.crash_not_checked", {{"request", id.str()}, {"server", servers[i].id.str()}, {"reason", "server_paused"}});
+            continue;
+        }
         ++m_runningChecks;
         client_call call;
         call.address = servers[i].address;
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -54,7 +54,8 @@
     , m_times(times)
     , m_writer(m_exchange->request())
     , m_partCount(services.size())
-    , m_execution(route, std::move(services), times, dependencies.board.servers, dependencies.board.budget, dependencies.board.latencies)
+    , m_execution(
+          route, std::move(services), times, dependencies.board.servers, dependencies.board.budget, dependencies.board.returns, dependencies.board.latencies)
     , m_timer(dependencies.loop)
 {
 }
--- a/tier/server_announcements.cpp
+++ b/tier/server_announcements.cpp
@@ -2,6 +2,7 @@
 
 #include "core/logger.h"
 #include "platform/server_announcement_reader.h"
+#include "tier/loop_clock.h"
 #include "tier/tier_blackboard.h"
 
 namespace snipefall {
@@ -9,7 +10,7 @@
 void noteServerAnnouncement(tier_blackboard &board, const backend_server_id &id, const http_response_message &answer)
 {
     const server_announcement announced = readServerAnnouncement(answer);
-    if (!board.servers.noteAnnouncement(id, announced)) {
+    if (!board.servers.noteAnnouncement(id, announced, now())) {
         return;
     }
     const backend_entry *entry = board.servers.find(id);
@@ -17,6 +18,7 @@
             {{"server", id.str()},
              {"service", entry ? entry->service.str() : "unlisted"},
              {"leaving", announced.leaving ? "yes" : "no"},
+             {"pause_ms", announced.pause ? std::to_string(*announced.pause / std::chrono::milliseconds(1)) : "-"},
              {"store_says_draining", entry && entry->draining ? "yes" : "no"}});
 }
 
--- a/tier/tier_blackboard.h
+++ b/tier/tier_blackboard.h
@@ -5,6 +5,7 @@
 #include "core/clock.h"
 #include "policy/backend_table.h"
 #include "policy/caller_wait_estimator.h"
+#include "policy/return_schedule.h"
 #include "policy/route_latency_tracker.h"
 #include "policy/route_matcher.h"
 #include "policy/shared_retry_budget.h"
@@ -26,6 +27,7 @@
     bool stopping = false; ///< True once a graceful shutdown has begun.
     backend_table servers;
     shared_retry_budget budget;
+    return_schedule returns;
     route_latency_tracker latencies;
     caller_wait_estimator elapsed;
 
