Keep the rate limits that backend servers name in their answers

Cause: no node read the header. The class is that of the leaving servers: a node didn't learn what a server says of itself in its answers.

Change: the limit is kept with the run of the server, from answers to requests, late ones and health checks, until an answer to a later request names none. Each node uses its even part, in slots of its own that are out of phase. Each choice of a server counts, also those of retries; hedges never go to such a server, and others are preferred. Where a server takes fewer requests than there are nodes, a slot that isn't used early expires, since the nodes could otherwise save up a request each and send all of them at once.

A query is refused before anything is sent if too many of its shards are at their limit, so that what the other shards take isn't spent on it; its Retry-After is the next slot, later ones for those refused later. Requests don't wait for slots, so that these are left for callers who were told to come back.

Tests: tier_tests/serversGetNoMoreRequestsThanTheirLimit failed before. announced_rate_limit_tests (1 to 470 nodes, also with load that rises after a calm minute), backend_table_tests/rateLimitHoldsUntilAnAnswerNamesNone and limitedServersAreSparedAndReachable, request_execution_tests/ queryIsRefusedWhileTooManyShardsAreAtTheirLimit.

--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -16,6 +16,8 @@
 constexpr double MISSING_COST = 2.0;
 /** Cost factor of a cold server, which answers more slowly until it has warmed up. */
 constexpr double COLD_COST = 1.6;
+/** Cost factor of a server that named a rate limit, so that its few requests are left for when no other server is free. */
+constexpr double LIMITED_COST = 2.0;
 /** Random part of a cost, so that nodes with the same information don't all choose the same server. */
 constexpr double COST_JITTER = 0.05;
 /** Cost factor of a server in another failure domain, because traffic between failure domains is expensive. */
@@ -64,6 +66,7 @@
         const removed_server &before = removed->second;
         const bool sameRun = before.startedMs == entry.startedMs;
         added.run = sameRun ? before.run : run_state();
+        added.run.limit.setNodeCount(m_nodeCount);
         added.run.replaced = added.run.replaced && before.address == entry.address && before.sequence >= entry.sequence;
         m_removed.erase(removed);
     }
@@ -144,7 +147,7 @@
     }
 }
 
-bool backend_table::noteAnnouncement(const backend_server_id &id, const server_announcement &announced, time_point now)
+bool backend_table::noteAnnouncement(const backend_server_id &id, const server_announcement &announced, time_point sentAt, time_point now)
 {
     const auto known = m_servers.find(id);
     run_state *run = known == m_servers.end() ? nullptr : &known->second.run;
@@ -160,7 +163,33 @@
     if (announced.pause) {
         run->pausedUntil = std::max(run->pausedUntil, now + *announced.pause);
     }
-    return leavesNow || pausesNow;
+    const bool limitChanges = updateLimit(*run, announced, sentAt, now);
+    return leavesNow || pausesNow || limitChanges;
+}
+
+bool backend_table::updateLimit(run_state &run, const server_announcement &announced, time_point sentAt, time_point now)
+{
+    const bool wasLimited = run.limit.isActive();
+    const double before = run.limit.requestsPerSecond();
+    if (announced.requestsPerSecond) {
+        const double phase = std::uniform_real_distribution<double>(0.0, 1.0)(m_randomEngine);
+        run.limit.set(*announced.requestsPerSecond, m_nodeCount, phase, now);
+        run.limitNamedAt = now;
+        return !wasLimited || run.limit.requestsPerSecond() != before;
+    }
+    if (!wasLimited || sentAt <= run.limitNamedAt) {
+        return false;
+    }
+    run.limit.clear();
+    return true;
+}
+
+void backend_table::setNodeCount(std::size_t nodes)
+{
+    m_nodeCount = std::max<std::size_t>(nodes, 1);
+    for (auto &[id, known] : m_servers) {
+        known.run.limit.setNodeCount(m_nodeCount);
+    }
 }
 
 void backend_table::noteStoreUnavailable(time_point now)
@@ -261,6 +290,7 @@
 backend_table::candidates backend_table::cheapest(const std::vector<server *> &servers,
                                                   const std::vector<backend_server_id> &excluded,
                                                   const version_filter &versions,
+                                                  suspended_server_policy suspended,
                                                   duration medianLatency,
                                                   time_point now)
 {
@@ -281,6 +311,9 @@
         if (candidate->health.inFlight() >= connections) {
             continue;
         }
+        if (candidate->run.limit.isActive() && suspended == suspended_server_policy::excluded) {
+            continue;
+        }
         if (candidate->health.suspended(now)) {
             if (!found.bestSuspended || candidate->health.suspendedUntil() < found.bestSuspended->health.suspendedUntil()) {
                 found.bestSuspended = candidate;
@@ -291,6 +324,7 @@
         cost *= candidate->entry.domain == m_ownDomain ? 1.0 : OTHER_DOMAIN_COST;
         cost *= candidate->expiresAt ? MISSING_COST : 1.0;
         cost *= now < candidate->coldUntil ? COLD_COST : 1.0;
+        cost *= candidate->run.limit.isActive() ? LIMITED_COST : 1.0;
         if (!found.best || cost < bestCost) {
             found.best = candidate;
             bestCost = cost;
@@ -334,11 +368,11 @@
         versions.wantsTarget = std::uniform_real_distribution<double>(0.0, 1.0)(m_randomEngine) < split->second.share;
         mayFallBack = versions.wantsTarget || split->second.targetServesFallback;
     }
-    const candidates preferred = cheapest(servers, excluded, versions, medianLatency, now);
+    const candidates preferred = cheapest(servers, excluded, versions, suspended, medianLatency, now);
     candidates fallback;
     if (!preferred.best && mayFallBack) {
         versions.wantsTarget = !versions.wantsTarget;
-        fallback = cheapest(servers, excluded, versions, medianLatency, now);
+        fallback = cheapest(servers, excluded, versions, suspended, medianLatency, now);
     }
     server *best = preferred.best ? preferred.best : fallback.best;
     if (!best && suspended == suspended_server_policy::avoided) {
@@ -348,6 +382,7 @@
         return std::nullopt;
     }
     countWarmUp(*best, now);
+    best->run.limit.take(now);
     return backend_choice{best->entry.id, best->entry.address};
 }
 
@@ -372,7 +407,7 @@
     if (!usable(candidate) || !versionAllows(candidate)) {
         return time_point::max();
     }
-    const time_point at = std::max(now, candidate.run.pausedUntil);
+    const time_point at = candidate.run.limit.availableAt(std::max(now, candidate.run.pausedUntil));
     // A cold server that has had its requests of this second may get more in the next one.
     return warmUpAllows(candidate, at) ? at : std::chrono::time_point_cast<duration>(std::chrono::floor<std::chrono::seconds>(at) + std::chrono::seconds(1));
 }
@@ -388,35 +423,56 @@
     return earliest;
 }
 
-time_point backend_table::reachableAt(const service_id &service, time_point now) const
+time_point backend_table::waitableAt(const server &candidate, time_point now) const
+{
+    return candidate.run.limit.availableAt(now) > now ? time_point::max() : availableAt(candidate, now);
+}
+
+time_point backend_table::waitableAt(const service_id &service, time_point now) const
 {
     time_point earliest = time_point::max();
     if (const auto found = m_byService.find(service); found != m_byService.end()) {
         for (const server *candidate : found->second) {
-            if (candidate->health.unreachable(now)) {
-                continue;
-            }
-            earliest = std::min(earliest, availableAt(*candidate, now));
+            earliest = std::min(earliest, waitableAt(*candidate, now));
         }
     }
     return earliest;
 }
 
-time_point backend_table::serverAvailableAt(const backend_server_id &id, time_point now) const
+time_point backend_table::serverWaitableAt(const backend_server_id &id, time_point now) const
 {
     const auto known = m_servers.find(id);
-    return known == m_servers.end() ? time_point::max() : availableAt(known->second, now);
+    return known == m_servers.end() ? time_point::max() : waitableAt(known->second, now);
+}
+
+time_point backend_table::reachableAt(const service_id &service, time_point now) const
+{
+    time_point earliest = time_point::max();
+    if (const auto found = m_byService.find(service); found != m_byService.end()) {
+        for (const server *candidate : found->second) {
+            if (candidate->health.unreachable(now)) {
+                continue;
+            }
+            earliest = std::min(earliest, waitableAt(*candidate, now));
+        }
+    }
+    return earliest;
 }
 
 duration backend_table::requestInterval(const service_id &service, duration medianLatency) const
 {
-    unsigned slots = 0;
+    double requestsPerSecond = 0;
     if (const auto found = m_byService.find(service); found != m_byService.end()) {
         for (const server *candidate : found->second) {
-            slots += usable(*candidate) && versionAllows(*candidate) ? candidate->entry.slots : 0;
+            if (!usable(*candidate) || !versionAllows(*candidate)) {
+                continue;
+            }
+            const announced_rate_limit &limit = candidate->run.limit;
+            const duration perRequest = medianLatency * static_cast<std::int64_t>(m_nodeCount) / std::max(candidate->entry.slots, 1U);
+            requestsPerSecond += 1 / std::chrono::duration<double>(std::max(limit.isActive() ? limit.interval() : perRequest, duration(1))).count();
         }
     }
-    return medianLatency * static_cast<std::int64_t>(m_nodeCount) / std::max(slots, 1U);
+    return requestsPerSecond > 0 ? std::chrono::duration_cast<duration>(std::chrono::duration<double>(1 / requestsPerSecond)) : medianLatency;
 }
 
 bool backend_table::hasReachableServer(const service_id &service, time_point now) const
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -10,6 +10,7 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "policy/announced_rate_limit.h"
 #include "policy/backend_choice.h"
 #include "policy/backend_entry.h"
 #include "policy/backend_health.h"
@@ -28,7 +29,7 @@
 class backend_table
 {
 public:
-    /** Whether choose() may return a suspended server. */
+    /** Whether choose() may return a suspended server or one that named a rate limit. */
     enum class suspended_server_policy
     {
         avoided, ///< Only if no other server is available.
@@ -49,9 +50,10 @@
     /**
      * Applies what the server @p id stated in an answer. It holds for this run of the server, whatever the store reports of the run later.
      *
+     * @p sentAt is when the request was sent; an answer that names no rate limit ends the limit only if its request was sent after the limit was last named.
      * Returns true if it changes which requests the server gets.
      */
-    bool noteAnnouncement(const backend_server_id &id, const server_announcement &announced, time_point now);
+    bool noteAnnouncement(const backend_server_id &id, const server_announcement &announced, time_point sentAt, time_point now);
     /** Records that the store could not be reached; meanwhile it may lose the entries of live servers. */
     void noteStoreUnavailable(time_point now);
     /** Records that the store has answered; ends the outage, if there was one. */
@@ -64,8 +66,8 @@
     const std::set<failure_domain_id> &excludedDomains() const { return m_excludedDomains; }
     /** Per second, a cold server gets at most @p warmUpOverrun times the warm-up rate of its service plus @p warmUpSlack requests from all nodes together. */
     void setServiceRules(const std::map<service_id, service_rules> &rules, double warmUpOverrun, double warmUpSlack);
-    /** Sets the number of nodes that send requests to the servers; the limits on connections and warm-up requests are divided among them. */
-    void setNodeCount(std::size_t nodes) { m_nodeCount = nodes == 0 ? 1 : nodes; }
+    /** Sets the number of nodes that send requests to the servers; the limits on connections, request rates and warm-up requests are divided among them. */
+    void setNodeCount(std::size_t nodes);
     /** Sets the traffic split of the services whose requests are divided between versions. */
     void setVersionShares(std::map<service_id, version_share> shares) { m_versionShares = std::move(shares); }
     const std::map<service_id, version_share> &versionShares() const { return m_versionShares; }
@@ -81,11 +83,13 @@
     std::optional<backend_choice> chooseAmong(const service_id &service, const std::vector<backend_server_id> &ids, duration medianLatency, time_point now);
     /** The earliest time, @p now or later, at which a server of the service may get a request, even if it is suspended; time_point::max() if none may. */
     time_point availableAt(const service_id &service, time_point now) const;
-    /** As availableAt(), but without the servers that are suspended as unreachable. */
+    /** As availableAt(), but without the servers whose rate limit is used up: their next requests are left to the callers that were told to come back. */
+    time_point waitableAt(const service_id &service, time_point now) const;
+    /** As waitableAt(), for one server. */
+    time_point serverWaitableAt(const backend_server_id &id, time_point now) const;
+    /** As waitableAt(), but without the servers that are suspended as unreachable. */
     time_point reachableAt(const service_id &service, time_point now) const;
-    /** As availableAt(), for one server. */
-    time_point serverAvailableAt(const backend_server_id &id, time_point now) const;
-    /** The mean time between the requests that this node's share of the capacity of the service's servers allows, estimated from their slots. */
+    /** The mean time between the requests that this node's share of the capacity of the service's servers allows, by their rate limits or their slots. */
     duration requestInterval(const service_id &service, duration medianLatency) const;
     /** True if the service has a server that may get requests and is not suspended as unreachable. */
     bool hasReachableServer(const service_id &service, time_point now) const;
@@ -115,6 +119,8 @@
         bool leaving = false; ///< The server announced that it is shutting down.
         time_point pausedUntil{}; ///< The server wants no requests before.
         bool replaced = false; ///< Another server answers at its address.
+        announced_rate_limit limit;
+        time_point limitNamedAt{}; ///< When the server last named its rate limit.
     };
     struct server
     {
@@ -152,6 +158,9 @@
     bool usable(const server &candidate) const;
     /** The earliest time, @p now or later, at which the server may get a request; time_point::max() if never. */
     time_point availableAt(const server &candidate, time_point now) const;
+    time_point waitableAt(const server &candidate, time_point now) const;
+    /** Updates the rate limit of a run. Returns true if it begins, ends or changes. */
+    bool updateLimit(run_state &run, const server_announcement &announced, time_point sentAt, time_point now);
     /** True if requests may go to servers of this version of the service. */
     bool versionAllows(const server &candidate) const;
     /** True unless the server is cold and this node has used up its share of the server's warm-up rate. */
@@ -164,6 +173,7 @@
     candidates cheapest(const std::vector<server *> &servers,
                         const std::vector<backend_server_id> &excluded,
                         const version_filter &versions,
+                        suspended_server_policy suspended,
                         duration medianLatency,
                         time_point now);
     void countWarmUp(server &chosen, time_point now);
--- a/policy/request_execution.cpp
+++ b/policy/request_execution.cpp
@@ -213,8 +213,8 @@
 
 void request_execution::postponeAttempt(part_state &part, time_point now)
 {
-    const time_point availableAt = serverAvailableAt(part, now);
-    part.nextAttemptAt = availableAt > now ? std::min(availableAt, now + NO_SERVER_RETRY_DELAY) : now + NO_SERVER_RETRY_DELAY;
+    const time_point waitableAt = serverWaitableAt(part, now);
+    part.nextAttemptAt = waitableAt > now ? std::min(waitableAt, now + NO_SERVER_RETRY_DELAY) : now + NO_SERVER_RETRY_DELAY;
     m_wakeAt = std::min(m_wakeAt, part.nextAttemptAt);
 }
 
@@ -335,15 +335,15 @@
     return std::max(now, m_times.target - m_medianLatency);
 }
 
-time_point request_execution::serverAvailableAt(const part_state &part, time_point now) const
+time_point request_execution::serverWaitableAt(const part_state &part, time_point now) const
 {
     const std::vector<backend_server_id> servers = serversThatMayHaveRun(part);
     if (servers.size() < m_route.maxServers) {
-        return m_servers.availableAt(part.service, now);
+        return m_servers.waitableAt(part.service, now);
     }
     time_point earliest = time_point::max();
     for (const backend_server_id &id : servers) {
-        earliest = std::min(earliest, m_servers.serverAvailableAt(id, now));
+        earliest = std::min(earliest, m_servers.serverWaitableAt(id, now));
     }
     return earliest;
 }
@@ -353,7 +353,7 @@
     if (part.answer != NONE || part.inFlight > 0) {
         return false;
     }
-    return part.noFurtherAttempts || serverAvailableAt(part, now) > latestSend(now);
+    return part.noFurtherAttempts || serverWaitableAt(part, now) > latestSend(now);
 }
 
 bool request_execution::meetsMinCoverage(std::size_t answered) const
--- a/policy/request_execution.h
+++ b/policy/request_execution.h
@@ -82,8 +82,8 @@
     std::optional<backend_choice> chooseRetryServer(const part_state &part, time_point now);
     /** The latest time until which a part waits for a server to become available; its answer can still be in time then. */
     time_point latestSend(time_point now) const;
-    /** The earliest time at which some server may get an attempt of the part, even if it is suspended; time_point::max() if none may. */
-    time_point serverAvailableAt(const part_state &part, time_point now) const;
+    /** The earliest time at which some server may get an attempt of the part; see backend_table::waitableAt(). */
+    time_point serverWaitableAt(const part_state &part, time_point now) const;
     /** Delays the next attempt of a part for which no server could be chosen. */
     void postponeAttempt(part_state &part, time_point now);
     /** Whether the part has no answer and nothing in flight, and either gets no further attempt or has no server. */
--- a/policy/server_announcement.h
+++ b/policy/server_announcement.h
@@ -10,6 +10,7 @@
 struct server_announcement
 {
     bool leaving = false; ///< The server is shutting down and must not receive new requests.
+    std::optional<double> requestsPerSecond; ///< The requests that the server takes from all nodes together, while it says so.
     std::optional<duration> pause; ///< The server refused a request and wants no further ones from this node for this time.
 };
 
--- a/tests/policy/test_backend_table.cpp
+++ b/tests/policy/test_backend_table.cpp
@@ -112,8 +112,8 @@
 {
     backend_table table(OWN_DOMAIN, 1);
     table.apply(entryOf("a"), START);
-    BOOST_TEST(table.noteAnnouncement(backend_server_id("a"), {true, std::nullopt}, START));
-    BOOST_TEST(!table.noteAnnouncement(backend_server_id("a"), {true, std::nullopt}, START));
+    BOOST_TEST(table.noteAnnouncement(backend_server_id("a"), {true, std::nullopt, std::nullopt}, START, START));
+    BOOST_TEST(!table.noteAnnouncement(backend_server_id("a"), {true, std::nullopt, std::nullopt}, START, START));
     BOOST_TEST(chosenServer(table, START) == "");
     BOOST_TEST((table.availableAt(SERVICE, START) == time_point::max()));
     if (row.relisted) {
@@ -132,9 +132,9 @@
     backend_table table(OWN_DOMAIN, 1);
     table.apply(entryOf("a"), START);
     const time_point end = START + std::chrono::seconds(2);
-    BOOST_TEST(table.noteAnnouncement(backend_server_id("a"), {false, std::chrono::seconds(2)}, START));
+    BOOST_TEST(table.noteAnnouncement(backend_server_id("a"), {false, std::nullopt, std::chrono::seconds(2)}, START, START));
     // A shorter pause doesn't end a longer one.
-    table.noteAnnouncement(backend_server_id("a"), {false, std::chrono::seconds(1)}, START);
+    table.noteAnnouncement(backend_server_id("a"), {false, std::nullopt, std::chrono::seconds(1)}, START, START);
     BOOST_TEST(chosenServer(table, end - duration(1)) == "");
     BOOST_TEST((table.availableAt(SERVICE, START) == end));
     table.remove(backend_server_id("a"), START);
@@ -143,6 +143,55 @@
     BOOST_TEST(chosenServer(table, end) == "a");
 }
 
+server_announcement limitOf(double requestsPerSecond)
+{
+    server_announcement announced;
+    announced.requestsPerSecond = requestsPerSecond;
+    return announced;
+}
+
+// Guards against a rate limit that is forgotten with the entry, or ended by an answer to a request from before the limit was named.
+BOOST_AUTO_TEST_CASE(rateLimitHoldsUntilAnAnswerNamesNone)
+{
+    backend_table table(OWN_DOMAIN, 1);
+    const backend_server_id id("a");
+    table.apply(entryOf("a"), START);
+    table.setNodeCount(10);
+    BOOST_TEST(table.noteAnnouncement(id, limitOf(1), START, START));
+    BOOST_TEST(!table.noteAnnouncement(id, limitOf(1), START, START));
+    const auto sentWithin10s = [&](time_point from) {
+        std::size_t sent = 0;
+        for (time_point now = from; now < from + std::chrono::seconds(10); now += std::chrono::milliseconds(10)) {
+            sent += chosenServer(table, now).empty() ? 0 : 1;
+        }
+        return sent;
+    };
+    BOOST_TEST(sentWithin10s(START) <= 1U);
+    table.noteAnnouncement(id, {}, START, START + std::chrono::seconds(10));
+    BOOST_TEST(sentWithin10s(START + std::chrono::seconds(10)) <= 1U);
+    table.remove(id, START + std::chrono::seconds(20));
+    table.apply(entryOf("a"), START + std::chrono::seconds(20));
+    BOOST_TEST(sentWithin10s(START + std::chrono::seconds(20)) <= 1U);
+    BOOST_TEST(table.noteAnnouncement(id, {}, START + std::chrono::seconds(21), START + std::chrono::seconds(30)));
+    BOOST_TEST(sentWithin10s(START + std::chrono::seconds(30)) == 1000U);
+}
+
+// Guards against hedges to a server that named a rate limit, and against a node that takes its servers' limits for a partition.
+BOOST_AUTO_TEST_CASE(limitedServersAreSparedAndReachable)
+{
+    backend_table table(OWN_DOMAIN, 1);
+    table.apply(entryOf("a"), START);
+    table.noteAnnouncement(backend_server_id("a"), limitOf(1000), START, START);
+    const time_point later = START + std::chrono::seconds(1);
+    BOOST_TEST(!table.choose(SERVICE, {}, backend_table::suspended_server_policy::excluded, MEDIAN_LATENCY, later).has_value());
+    BOOST_TEST(chosenServer(table, later) == "a");
+    table.noteAnnouncement(backend_server_id("a"), limitOf(0), later, later);
+    chosenServer(table, later + std::chrono::seconds(4));
+    BOOST_TEST((table.waitableAt(SERVICE, later + std::chrono::seconds(4)) == time_point::max()));
+    BOOST_TEST((table.availableAt(SERVICE, later + std::chrono::seconds(4)) < time_point::max()));
+    BOOST_TEST(!table.seemsIsolated(later + std::chrono::seconds(4)));
+}
+
 // Guards against sending to an address that another server took when the store lists the old entry again.
 BOOST_AUTO_TEST_CASE(reusedAddressIsRememberedWhenTheEntryIsListedAgain)
 {
--- a/tests/policy/test_request_execution.cpp
+++ b/tests/policy/test_request_execution.cpp
@@ -243,7 +243,7 @@
     request_fixture fixture(4, true, 1);
     const time_point end = START + milliseconds(200);
     for (const char *id : {"server-0-0", "server-1-0"}) {
-        fixture.servers.noteAnnouncement(backend_server_id(id), {false, milliseconds(200)}, START);
+        fixture.servers.noteAnnouncement(backend_server_id(id), {false, std::nullopt, milliseconds(200)}, START, START);
     }
     duration before{};
     for (int i = 0; i < 5; ++i) {
@@ -258,12 +258,41 @@
     }
 }
 
+// Guards against queries that use up the limited requests of some shards although they can't get enough other shards.
+BOOST_AUTO_TEST_CASE(queryIsRefusedWhileTooManyShardsAreAtTheirLimit)
+{
+    request_fixture fixture(4, true, 1);
+    server_announcement announced;
+    announced.requestsPerSecond = 4;
+    for (const char *id : {"server-0-0", "server-1-0"}) {
+        fixture.servers.noteAnnouncement(backend_server_id(id), announced, START, START);
+    }
+    const time_point later = START + milliseconds(300);
+    fixture.times = {later, later + milliseconds(90), later + milliseconds(990), later + milliseconds(1000)};
+    std::size_t answered = 0;
+    duration before{};
+    for (int i = 0; i < 3; ++i) {
+        request_execution execution(fixture.route, fixture.services, fixture.times, fixture.servers, fixture.budget, fixture.returns, fixture.latencies);
+        const execution_step step = execution.start(later);
+        if (!step.result) {
+            BOOST_TEST(step.sends.size() == 4U);
+            ++answered;
+            continue;
+        }
+        BOOST_TEST(step.sends.empty());
+        BOOST_TEST((step.result->outcome == execution_result::kind::not_run));
+        BOOST_TEST((step.result->retryAfter > before));
+        before = step.result->retryAfter;
+    }
+    BOOST_TEST(answered == 1U);
+}
+
 // Guards against refusing a query whose shards become available before its target latency.
 BOOST_AUTO_TEST_CASE(queryWaitsForShortPauses)
 {
     request_fixture fixture(4, true, 1);
     for (const char *id : {"server-0-0", "server-1-0"}) {
-        fixture.servers.noteAnnouncement(backend_server_id(id), {false, milliseconds(10)}, START);
+        fixture.servers.noteAnnouncement(backend_server_id(id), {false, std::nullopt, milliseconds(10)}, START, START);
     }
     execution_step step;
     request_execution execution = fixture.start(step);
@@ -286,7 +315,7 @@
 const excluded_server_case EXCLUDED_SERVER_CASES[] = {
     {"it leaves",
      [](backend_table &servers, const backend_server_id &id) {
-         servers.noteAnnouncement(id, {true, std::nullopt}, START);
+         servers.noteAnnouncement(id, {true, std::nullopt, std::nullopt}, START, START);
      }},
     {"another server has its address", [](backend_table &servers, const backend_server_id &id) { servers.noteAddressReused(id); }},
     {"its version is stopped",
--- a/tests/stand_ins/site_backend.cpp
+++ b/tests/stand_ins/site_backend.cpp
@@ -149,6 +149,9 @@
     if (m_announcements.leaving) {
         answer.set("Server-Leaving", "1");
     }
+    if (m_announcements.requestsPerSecond > 0) {
+        answer.set("Server-Limit", std::to_string(m_announcements.requestsPerSecond));
+    }
     if (m_announcements.pause.count() > 0 && answer.result_int() == 503) {
         answer.set(http::field::retry_after, std::to_string(static_cast<double>(m_announcements.pause.count()) / 1000));
     }
--- a/tests/stand_ins/site_backend.h
+++ b/tests/stand_ins/site_backend.h
@@ -46,6 +46,7 @@
     {
         bool leaving = false;
         std::chrono::milliseconds pause{0}; ///< Retry-After of refusals; 0 to leave it out.
+        double requestsPerSecond = 0; ///< Rate limit that is named in all answers; 0 to leave it out.
     };
 
     /** A request whose execution began. */
--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -346,6 +346,34 @@
     BOOST_TEST(site_emulator::waitFor([&] { return running.site.order("node-0").status == 200; }));
 }
 
+// Guards against more requests to a server than it takes by the rate limit that it names, from all nodes together.
+BOOST_AUTO_TEST_CASE(serversGetNoMoreRequestsThanTheirLimit)
+{
+    constexpr double LIMIT = 3;
+    constexpr std::chrono::seconds SETTLING(4);
+    constexpr std::chrono::seconds WINDOW(4);
+    running_site running(2);
+    site_backend *limited = running.site.onLoop([&] {
+        site_backend *server = running.site.serversOf("shard-0").front();
+        server->setAnnouncements({false, milliseconds(0), LIMIT});
+        return server;
+    });
+    const auto begin = std::chrono::steady_clock::now();
+    for (std::size_t i = 0; std::chrono::steady_clock::now() - begin < SETTLING + 2 * WINDOW; ++i) {
+        const site_caller::request request = running.site.queryRequest();
+        BOOST_TEST(running.site.findAnswerProblem(running.site.call(running.site.addresses(running.names[i % 2]).callers, request), request) == "");
+    }
+    const std::vector<site_backend::run> runs = running.site.onLoop([&] { return limited->runs(); });
+    BOOST_TEST(!runs.empty());
+    std::size_t most = 0;
+    for (const site_backend::run &first : runs) {
+        const auto inWindow =
+            std::count_if(runs.begin(), runs.end(), [&](const site_backend::run &run) { return run.at >= first.at && run.at < first.at + WINDOW; });
+        most = std::max(most, first.at < begin + SETTLING ? 0 : static_cast<std::size_t>(inWindow));
+    }
+    BOOST_TEST(static_cast<double>(most) <= 1.5 * 4 * LIMIT + 5);
+}
+
 // Guards against a node that stops serving, or drops servers whose entries the store lost, when the store refuses calls or goes silent.
 BOOST_AUTO_TEST_CASE(nodeServesDuringStoreOutage)
 {
--- a/tier/crash_controller.cpp
+++ b/tier/crash_controller.cpp
@@ -89,7 +89,7 @@
 {
     const bool otherServer = result.outcome == client_result::kind::answered && !isAnswerFrom(result.response, server.id);
     if (result.outcome == client_result::kind::answered && !otherServer) {
-        noteServerAnnouncement(m_board, server.id, result.response);
+        noteServerAnnouncement(m_board, server.id, result.response, std::chrono::time_point_cast<duration>(result.sentAt));
     }
     const bool crashed = result.outcome == client_result::kind::not_sent || otherServer;
     logInfo("server.checked_after_loss",
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -102,9 +102,10 @@
     call.newConnection = !m_route.idempotent;
     call.deadline = m_times.deadline;
     // A late answer to an earlier request is not accepted, but what the server states in it holds all the same.
-    call.acceptsResponse = [&board = m_dependencies.board, server = planned.server.id, id = m_request.id](const http_response_message &answer) {
-        noteServerAnnouncement(board, server, answer);
-        return isAnswerTo(answer, id);
+    call.acceptsResponse = [&board = m_dependencies.board, server = planned.server.id, id = m_request.id, at](const http_response_message &answer) {
+        const bool accepted = isAnswerTo(answer, id);
+        noteServerAnnouncement(board, server, answer, accepted ? at : time_point());
+        return accepted;
     };
     const std::size_t id = planned.id;
     subRequest.call =
--- a/tier/server_announcements.h
+++ b/tier/server_announcements.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/clock.h"
 #include "core/ids.h"
 #include "http/async_http_types.h"
 
@@ -7,7 +8,7 @@
 
 struct tier_blackboard;
 
-/** Records on the blackboard, and logs, what the backend server @p id stated about itself in @p answer. */
-void noteServerAnnouncement(tier_blackboard &board, const backend_server_id &id, const http_response_message &answer);
+/** Records on the blackboard, and logs, what the backend server @p id stated about itself in its answer to a request that was sent at @p sentAt. */
+void noteServerAnnouncement(tier_blackboard &board, const backend_server_id &id, const http_response_message &answer, time_point sentAt);
 
 } // namespace snipefall
