Lift the stop of a version when its move is recorded as done

A move that is recorded as done lifts the stop, and replaces the finding at all nodes by one that names no version.

Test: move_driver_tests/stopIsLiftedWhenTheMoveIsDone.

--- a/tests/tier/test_move_driver.cpp
+++ b/tests/tier/test_move_driver.cpp
@@ -1,6 +1,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "policy/move_messages.h"
 #include "tests/tier/move_cluster.h"
 
 using namespace snipefall;
@@ -71,6 +72,52 @@
     }
 }
 
+// Guards against a service without any server because a node stopped the target of a move that was recorded as done, also on nodes that start later.
+BOOST_AUTO_TEST_CASE(stopIsLiftedWhenTheMoveIsDone)
+{
+    boost::asio::io_context loop;
+    tier_blackboard board(failure_domain_id("fd-0"), 1);
+    store_client store(loop, "127.0.0.1:1");
+    move_driver driver(store, board, node_id("n"));
+    std::vector<fact> published;
+    driver.setPeers({[&published](fact item) { published.push_back(std::move(item)); },
+                     [](fact_kind) { return std::vector<fact>(); },
+                     [] { return std::size_t{0}; },
+                     [](const std::string &) {}});
+    version_move order;
+    order.name = "shard-0";
+    order.moveId = "move-1";
+    order.service = service_id("shard-0");
+    order.target = version_id("v2");
+    order.timeLimit = std::chrono::seconds(20);
+    order.recorded = move_outcome::running;
+    order.revision = object_version(1);
+    const auto isStopped = [&] {
+        const auto found = board.servers.versionShares().find(order.service);
+        return found != board.servers.versionShares().end() && found->second.stopped.contains(order.target);
+    };
+    const fact finding = makeBadVersionFact({order.service, order.target, order.moveId, "errors"});
+
+    driver.apply(order);
+    driver.applyPeerFact(finding);
+    BOOST_TEST(isStopped());
+    order.recorded = move_outcome::done;
+    order.revision = object_version(2);
+    driver.apply(order);
+    BOOST_TEST(!isStopped());
+    driver.applyPeerFact(finding);
+    BOOST_TEST(!isStopped());
+    BOOST_REQUIRE(published.size() == 1U);
+    BOOST_TEST(published.front().key == finding.key);
+
+    move_driver late(store, board, node_id("m"));
+    late.setPeers({[](fact) {}, [](fact_kind) { return std::vector<fact>(); }, [] { return std::size_t{1}; }, [](const std::string &) {}});
+    late.applyPeerFact(finding);
+    BOOST_TEST(isStopped());
+    late.applyPeerFact(published.front());
+    BOOST_TEST(!isStopped());
+}
+
 // Guards against rolling back a good version because of chance.
 BOOST_AUTO_TEST_CASE(goodVersionIsKeptWhereManyNodesShareTheRequests)
 {
--- a/tier/move_driver.cpp
+++ b/tier/move_driver.cpp
@@ -99,6 +99,9 @@
             }
         }
     }
+    if (move.recorded == move_outcome::done) {
+        liftStop(move);
+    }
     logInfo("move.seen",
             {{"service", move.service.str()},
              {"target", move.target.str()},
@@ -136,7 +139,13 @@
     }
     const auto known = m_moves.find(found->service);
     const bool isCurrent = known != m_moves.end() && known->second->order.moveId == found->moveId;
-    if (peerFact.kind == fact_kind::bad_version && !isOrderedAgain(found->service, found->version, found->moveId)) {
+    if (found->version.empty()) {
+        std::erase_if(m_faultyVersions[found->service], [&found](const auto &item) { return item.second == found->moveId; });
+        publishShares(now());
+        return;
+    }
+    const bool isDone = isCurrent && known->second->order.recorded == move_outcome::done;
+    if (peerFact.kind == fact_kind::bad_version && !isDone && !isOrderedAgain(found->service, found->version, found->moveId)) {
         m_faultyVersions[found->service][found->version] = found->moveId;
         publishShares(now());
     }
@@ -287,6 +296,22 @@
     m_peers.publish(makeApprovedVersionFact({move.order.service, move.order.target, move.order.moveId, reason}));
 }
 
+void move_driver::liftStop(const version_move &order)
+{
+    const auto versions = m_faultyVersions.find(order.service);
+    if (versions == m_faultyVersions.end()) {
+        return;
+    }
+    const auto stopped = versions->second.find(order.target);
+    if (stopped == versions->second.end() || stopped->second != order.moveId) {
+        return;
+    }
+    logWarning("move.stop_lifted", {{"service", order.service.str()}, {"target", order.target.str()}, {"move", order.moveId}});
+    versions->second.erase(stopped);
+    // Replaces the finding at all nodes, so that none that starts later stops the only version that is left.
+    m_peers.publish(makeBadVersionFact({order.service, version_id(), order.moveId, "recorded as done"}));
+}
+
 void move_driver::writeStatus(running_move &move, move_outcome recorded, const std::string &reason, time_point now)
 {
     if (move.writeDueSince == time_point{}) {
@@ -321,6 +346,9 @@
                               if (written && *written > current.order.revision) {
                                   current.order.revision = *written;
                                   current.order.recorded = recorded;
+                                  if (recorded == move_outcome::done) {
+                                      liftStop(current.order);
+                                  }
                               }
                           });
 }
--- a/tier/move_driver.h
+++ b/tier/move_driver.h
@@ -102,6 +102,8 @@
     /** True if a later order moves the service to the version again. */
     bool isOrderedAgain(const service_id &service, const version_id &version, const std::string &moveId) const;
     void approveTarget(running_move &move, const std::string &reason);
+    /** Lifts the stop of a target whose move was recorded as done all the same: the servers of the old version are gone by then. */
+    void liftStop(const version_move &order);
     void writeStatus(running_move &move, move_outcome recorded, const std::string &reason, time_point now);
     void publishShares(time_point now);
     version_share shareOf(const running_move &move, time_point now) const;
