Announce leaving, rate limits and pauses in the fault soak

A third of the faults of single servers now are announcements: the server says that it leaves and starts again as a new run under the same id, names a rate limit, or refuses half of its requests with Retry-After. The checks after the faults see that nothing of it sticks.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -245,6 +245,10 @@
         const std::string service = randomBelow(3) == 0 ? site_emulator::UNSHARDED_SERVICE : shards[randomBelow(shards.size())];
         const auto servers = m_site.serversOf(service);
         site_backend *server = servers[randomBelow(servers.size())];
+        if (randomBelow(3) == 0) {
+            announce(server, until);
+            return;
+        }
         site_backend::faults faults;
         switch (randomBelow(4)) {
         case 0:
@@ -270,6 +274,34 @@
     });
 }
 
+void soak_run::announce(site_backend *server, steady::time_point until)
+{
+    site_backend::announcements announced;
+    switch (randomBelow(3)) {
+    case 0:
+        announced.leaving = true;
+        break;
+    case 1:
+        announced.requestsPerSecond = static_cast<double>(1 + randomBelow(20));
+        break;
+    default:
+        announced.pause = randomDuration(200, 1500);
+        server->setFaults({0, 50, 0, false, milliseconds(0)});
+    }
+    recordEvent(fmt::format(
+        "server {} announces leaving={} limit={} pause={}", server->settings().id, announced.leaving, announced.requestsPerSecond, announced.pause.count()));
+    server->setAnnouncements(announced);
+    schedule(until, "", [this, server, leaves = announced.leaving] {
+        m_site.onLoop([&] {
+            server->setFaults({});
+            server->setAnnouncements({});
+            if (leaves) {
+                server->startNewRun();
+            }
+        });
+    });
+}
+
 void soak_run::injectStoreFault(steady::time_point now)
 {
     const auto until = now + randomDuration(200, 2500);
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -70,6 +70,7 @@
     void injectFault(steady::time_point now);
     void injectNodeFault(steady::time_point now);
     void injectServerFault(steady::time_point now);
+    void announce(site_backend *server, steady::time_point until);
     void injectStoreFault(steady::time_point now);
     void reshardOrDrain(steady::time_point now);
     void runScheduledActions(steady::time_point now, bool all);
--- a/tests/stand_ins/site_backend.cpp
+++ b/tests/stand_ins/site_backend.cpp
@@ -1,5 +1,7 @@
 #include "tests/stand_ins/site_backend.h"
 
+#include <algorithm>
+
 #include "core/clock.h"
 #include "tests/stand_ins/site_records.h"
 
@@ -68,6 +70,14 @@
     m_store.remove("servers", m_options.id);
 }
 
+void site_backend::startNewRun()
+{
+    m_announcements = {};
+    m_entrySequence = 0;
+    m_startedMs = std::max<std::uint64_t>(wallClockMs(), m_startedMs + 1);
+    report("ready");
+}
+
 void site_backend::handle(const std::shared_ptr<http_exchange> &exchange)
 {
     ++m_arrivals;
--- a/tests/stand_ins/site_backend.h
+++ b/tests/stand_ins/site_backend.h
@@ -73,6 +73,8 @@
     /** Writes the entry of the server to the store; @p state is "ready" or "draining". */
     void report(const std::string &state);
     void withdraw();
+    /** Begins a new run of the server under the same id, without announcements, and reports it as ready. */
+    void startNewRun();
     const std::vector<run> &runs() const { return m_runs; }
     /** Number of requests received, including those that were refused. */
     std::uint64_t arrivals() const { return m_arrivals; }
