Test that responses without end end the call

Servers in trouble may send bytes that are no answer until the client closes, in a head or in a body. The client's limits hold for all seven cases tried; nothing was changed.

--- a/tests/http/scripted_server.cpp
+++ b/tests/http/scripted_server.cpp
@@ -61,6 +61,14 @@
         received.clear();
         const reply &response = m_script[std::min<std::size_t>(m_requests++, m_script.size() - 1)];
         ::send(socket, response.bytes.data(), response.bytes.size(), MSG_NOSIGNAL);
+        while (!response.endless.empty()) {
+            const ssize_t sent = ::send(socket, response.endless.data(), response.endless.size(), MSG_NOSIGNAL);
+            if (sent < 0) {
+                ::close(socket);
+                return;
+            }
+            m_endlessBytes += static_cast<std::size_t>(sent);
+        }
         if (response.connectionAction == reply::end::keep) {
             continue;
         }
--- a/tests/http/scripted_server.h
+++ b/tests/http/scripted_server.h
@@ -19,6 +19,7 @@
             close,
             reset,
         } connectionAction = end::keep;
+        std::string endless = {}; ///< Sent after the bytes again and again until the client closes; empty for none.
     };
 
     /** The n-th request gets the n-th reply of @p script, further ones the last. */
@@ -30,6 +31,8 @@
     std::string address() const { return "127.0.0.1:" + std::to_string(m_port); }
     unsigned requests() const { return m_requests; }
     unsigned connections() const { return m_connections; }
+    /** Bytes of endless replies that were sent. */
+    std::size_t endlessBytes() const { return m_endlessBytes; }
 
 private:
     void acceptConnections();
@@ -40,6 +43,7 @@
     unsigned short m_port = 0;
     std::atomic<unsigned> m_requests{0};
     std::atomic<unsigned> m_connections{0};
+    std::atomic<std::size_t> m_endlessBytes{0};
     std::thread m_acceptor;
     std::vector<std::thread> m_threads;
 };
--- a/tests/http/test_async_http_client.cpp
+++ b/tests/http/test_async_http_client.cpp
@@ -94,6 +94,44 @@
     BOOST_TEST(server.requests() == 2U);
 }
 
+struct endless_case
+{
+    const char *name;
+    const char *start;
+    const char *endless;
+    kind outcome;
+};
+
+std::ostream &operator<<(std::ostream &out, const endless_case &row)
+{
+    return out << row.name;
+}
+
+const endless_case ENDLESS_CASES[] = {
+    {"garbage", "", "garbage ", kind::malformed},
+    {"a header field", "HTTP/1.1 200 OK\r\nX: ", "xxxxxxxxxxxxxxxx", kind::malformed},
+    {"header fields", "HTTP/1.1 200 OK\r\n", "X-Field: value\r\n", kind::malformed},
+    {"a body without a length", "HTTP/1.1 200 OK\r\n\r\n", "0123456789abcdef0123456789abcdef0123456789abcdef", kind::malformed},
+    {"a chunked body", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "20\r\n0123456789abcdef0123456789abcdef\r\n", kind::malformed},
+    {"a chunk extension", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;", "xxxxxxxxxxxxxxxx", kind::malformed},
+    {"late responses to an earlier request", "", "HTTP/1.1 200 OK\r\nRequest-Id: earlier\r\nContent-Length: 0\r\n\r\n", kind::timed_out},
+};
+
+// Guards against a call that reads, or buffers, bytes without end until the server closes.
+BOOST_DATA_TEST_CASE(endlessResponsesEndTheCall, boost::unit_test::data::make(ENDLESS_CASES), row)
+{
+    // A response may be as long as the client's limit; sockets buffer some more.
+    constexpr std::size_t MAX_BYTES = 64U << 20U;
+    scripted_server server({{row.start, end::keep, row.endless}});
+    {
+        client_fixture fixture;
+        const client_result result = fixture.call(server.address());
+        BOOST_TEST((result.outcome == row.outcome || result.outcome == kind::timed_out));
+        BOOST_TEST(fixture.client.connectionsTo(server.address()) == 0U);
+    }
+    BOOST_TEST(server.endlessBytes() < MAX_BYTES);
+}
+
 // Guards against a transparent resend after a reused connection closes, which could execute a request twice without the caller's knowledge.
 BOOST_AUTO_TEST_CASE(lostRequestsAreNotResent)
 {
