--- a/policy/announced_rate_limit.cpp
+++ b/policy/announced_rate_limit.cpp
@@ -42,7 +42,7 @@
 {
     const std::chrono::duration<double> interval(static_cast<double>(m_nodes) / (USED_FRACTION * m_requestsPerSecond));
     const std::chrono::duration<double> validity(MIN_VALIDITY_S + VALID_REQUESTS / m_requestsPerSecond);
-    m_interval = std::chrono::duration_cast<duration>(interval);
+    m_interval = std::max(std::chrono::duration_cast<duration>(interval), duration(1));
     m_validity = std::chrono::duration_cast<duration>(validity);
 }
 
--- a/tests/policy/test_announced_rate_limit.cpp
+++ b/tests/policy/test_announced_rate_limit.cpp
@@ -77,6 +77,16 @@
     }
 }
 
+// Guards against a division by zero for a rate that is too high to be a limit.
+BOOST_AUTO_TEST_CASE(hugeRatesAreNoLimit)
+{
+    announced_rate_limit limit;
+    limit.set(1e300, 1, 0, START);
+    limit.take(START);
+    const time_point later = START + std::chrono::milliseconds(1);
+    BOOST_TEST((limit.availableAt(later) == later));
+}
+
 // Guards against a change of the node count or of the rate that gives every node a request at once.
 BOOST_AUTO_TEST_CASE(changesDoNotGrantRequests)
 {
