Give the state of a server's run a class, and call judges coordinators

backend_table had grown by what servers say of themselves: server_run_state now holds and applies it, and one function finds the earliest time over the servers of a service. No change of behaviour.

--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -65,9 +65,9 @@
     if (const auto removed = m_removed.find(entry.id); removed != m_removed.end()) {
         const removed_server &before = removed->second;
         const bool sameRun = before.startedMs == entry.startedMs;
-        added.run = sameRun ? before.run : run_state();
-        added.run.limit.setNodeCount(m_nodeCount);
-        added.run.replaced = added.run.replaced && before.address == entry.address && before.sequence >= entry.sequence;
+        added.run = sameRun ? before.run : server_run_state();
+        added.run.setNodeCount(m_nodeCount);
+        added.run.setReplaced(added.run.isReplaced() && before.address == entry.address && before.sequence >= entry.sequence);
         m_removed.erase(removed);
     }
     added.coldUntil = now + entry.warmUpLeft;
@@ -95,8 +95,8 @@
     if (!sameRun || !sameAddress) {
         current.health.reset();
     }
-    current.run = sameRun ? current.run : run_state();
-    current.run.replaced = current.run.replaced && sameAddress && current.entry.sequence >= entry.sequence;
+    current.run = sameRun ? current.run : server_run_state();
+    current.run.setReplaced(current.run.isReplaced() && sameAddress && current.entry.sequence >= entry.sequence);
     current.entry = entry;
     current.expiresAt.reset();
     current.coldUntil = now + entry.warmUpLeft;
@@ -143,52 +143,25 @@
 {
     const auto known = m_servers.find(id);
     if (known != m_servers.end()) {
-        known->second.run.replaced = true;
+        known->second.run.setReplaced(true);
     }
 }
 
 bool backend_table::noteAnnouncement(const backend_server_id &id, const server_announcement &announced, time_point sentAt, time_point now)
 {
     const auto known = m_servers.find(id);
-    run_state *run = known == m_servers.end() ? nullptr : &known->second.run;
+    server_run_state *run = known == m_servers.end() ? nullptr : &known->second.run;
     if (const auto removed = m_removed.find(id); !run && removed != m_removed.end()) {
         run = &removed->second.run;
     }
-    if (!run) {
-        return false;
-    }
-    const bool leavesNow = announced.leaving && !run->leaving;
-    const bool pausesNow = announced.pause && now >= run->pausedUntil;
-    run->leaving = run->leaving || announced.leaving;
-    if (announced.pause) {
-        run->pausedUntil = std::max(run->pausedUntil, now + *announced.pause);
-    }
-    const bool limitChanges = updateLimit(*run, announced, sentAt, now);
-    return leavesNow || pausesNow || limitChanges;
-}
-
-bool backend_table::updateLimit(run_state &run, const server_announcement &announced, time_point sentAt, time_point now)
-{
-    const bool wasLimited = run.limit.isActive();
-    const double before = run.limit.requestsPerSecond();
-    if (announced.requestsPerSecond) {
-        const double phase = std::uniform_real_distribution<double>(0.0, 1.0)(m_randomEngine);
-        run.limit.set(*announced.requestsPerSecond, m_nodeCount, phase, now);
-        run.limitNamedAt = now;
-        return !wasLimited || run.limit.requestsPerSecond() != before;
-    }
-    if (!wasLimited || sentAt <= run.limitNamedAt) {
-        return false;
-    }
-    run.limit.clear();
-    return true;
+    return run && run->apply(announced, sentAt, m_nodeCount, std::uniform_real_distribution<double>(0.0, 1.0)(m_randomEngine), now);
 }
 
 void backend_table::setNodeCount(std::size_t nodes)
 {
     m_nodeCount = std::max<std::size_t>(nodes, 1);
     for (auto &[id, known] : m_servers) {
-        known.run.limit.setNodeCount(m_nodeCount);
+        known.run.setNodeCount(m_nodeCount);
     }
 }
 
@@ -245,7 +218,7 @@
 
 bool backend_table::usable(const server &candidate) const
 {
-    return !candidate.entry.draining && !candidate.run.leaving && !candidate.run.replaced && !m_excludedDomains.contains(candidate.entry.domain);
+    return !candidate.entry.draining && !candidate.run.isGone() && !m_excludedDomains.contains(candidate.entry.domain);
 }
 
 bool backend_table::versionAllows(const server &candidate) const
@@ -311,7 +284,7 @@
         if (candidate->health.inFlight() >= connections) {
             continue;
         }
-        if (candidate->run.limit.isActive() && suspended == suspended_server_policy::excluded) {
+        if (candidate->run.limit().isActive() && suspended == suspended_server_policy::excluded) {
             continue;
         }
         if (candidate->health.suspended(now)) {
@@ -324,7 +297,7 @@
         cost *= candidate->entry.domain == m_ownDomain ? 1.0 : OTHER_DOMAIN_COST;
         cost *= candidate->expiresAt ? MISSING_COST : 1.0;
         cost *= now < candidate->coldUntil ? COLD_COST : 1.0;
-        cost *= candidate->run.limit.isActive() ? LIMITED_COST : 1.0;
+        cost *= candidate->run.limit().isActive() ? LIMITED_COST : 1.0;
         if (!found.best || cost < bestCost) {
             found.best = candidate;
             bestCost = cost;
@@ -382,7 +355,7 @@
         return std::nullopt;
     }
     countWarmUp(*best, now);
-    best->run.limit.take(now);
+    best->run.countRequest(now);
     return backend_choice{best->entry.id, best->entry.address};
 }
 
@@ -407,56 +380,46 @@
     if (!usable(candidate) || !versionAllows(candidate)) {
         return time_point::max();
     }
-    const time_point at = candidate.run.limit.availableAt(std::max(now, candidate.run.pausedUntil));
+    const time_point at = candidate.run.availableAt(now);
     // A cold server that has had its requests of this second may get more in the next one.
     return warmUpAllows(candidate, at) ? at : std::chrono::time_point_cast<duration>(std::chrono::floor<std::chrono::seconds>(at) + std::chrono::seconds(1));
 }
 
-time_point backend_table::availableAt(const service_id &service, time_point now) const
+time_point backend_table::waitableAt(const server &candidate, time_point now) const
+{
+    return candidate.run.isAtLimit(now) ? time_point::max() : availableAt(candidate, now);
+}
+
+time_point backend_table::earliest(const service_id &service, std::invocable<const server &> auto &&timeOf) const
 {
     time_point earliest = time_point::max();
     if (const auto found = m_byService.find(service); found != m_byService.end()) {
         for (const server *candidate : found->second) {
-            earliest = std::min(earliest, availableAt(*candidate, now));
+            earliest = std::min(earliest, timeOf(*candidate));
         }
     }
     return earliest;
 }
 
-time_point backend_table::waitableAt(const server &candidate, time_point now) const
+time_point backend_table::availableAt(const service_id &service, time_point now) const
 {
-    return candidate.run.limit.availableAt(now) > now ? time_point::max() : availableAt(candidate, now);
+    return earliest(service, [&](const server &candidate) { return availableAt(candidate, now); });
 }
 
 time_point backend_table::waitableAt(const service_id &service, time_point now) const
 {
-    time_point earliest = time_point::max();
-    if (const auto found = m_byService.find(service); found != m_byService.end()) {
-        for (const server *candidate : found->second) {
-            earliest = std::min(earliest, waitableAt(*candidate, now));
-        }
-    }
-    return earliest;
+    return earliest(service, [&](const server &candidate) { return waitableAt(candidate, now); });
 }
 
-time_point backend_table::serverWaitableAt(const backend_server_id &id, time_point now) const
+time_point backend_table::reachableAt(const service_id &service, time_point now) const
 {
-    const auto known = m_servers.find(id);
-    return known == m_servers.end() ? time_point::max() : waitableAt(known->second, now);
+    return earliest(service, [&](const server &candidate) { return candidate.health.unreachable(now) ? time_point::max() : waitableAt(candidate, now); });
 }
 
-time_point backend_table::reachableAt(const service_id &service, time_point now) const
+time_point backend_table::serverWaitableAt(const backend_server_id &id, time_point now) const
 {
-    time_point earliest = time_point::max();
-    if (const auto found = m_byService.find(service); found != m_byService.end()) {
-        for (const server *candidate : found->second) {
-            if (candidate->health.unreachable(now)) {
-                continue;
-            }
-            earliest = std::min(earliest, waitableAt(*candidate, now));
-        }
-    }
-    return earliest;
+    const auto known = m_servers.find(id);
+    return known == m_servers.end() ? time_point::max() : waitableAt(known->second, now);
 }
 
 duration backend_table::requestInterval(const service_id &service, duration medianLatency) const
@@ -467,7 +430,7 @@
             if (!usable(*candidate) || !versionAllows(*candidate)) {
                 continue;
             }
-            const announced_rate_limit &limit = candidate->run.limit;
+            const announced_rate_limit &limit = candidate->run.limit();
             const duration perRequest = medianLatency * static_cast<std::int64_t>(m_nodeCount) / std::max(candidate->entry.slots, 1U);
             requestsPerSecond += 1 / std::chrono::duration<double>(std::max(limit.isActive() ? limit.interval() : perRequest, duration(1))).count();
         }
@@ -496,7 +459,7 @@
 bool backend_table::isPaused(const backend_server_id &id, time_point now) const
 {
     const auto known = m_servers.find(id);
-    return known != m_servers.end() && now < known->second.run.pausedUntil;
+    return known != m_servers.end() && known->second.run.isPaused(now);
 }
 
 backend_health *backend_table::health(const backend_server_id &id)
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <concepts>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -10,16 +11,17 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
-#include "policy/announced_rate_limit.h"
 #include "policy/backend_choice.h"
 #include "policy/backend_entry.h"
 #include "policy/backend_health.h"
-#include "policy/server_announcement.h"
+#include "policy/server_run_state.h"
 #include "policy/service_rules.h"
 #include "policy/version_share.h"
 
 namespace snipefall {
 
+struct server_announcement;
+
 /**
  * The backend servers that are registered in the platform's store, and the load balancer that selects among them.
  *
@@ -48,10 +50,8 @@
     /** Records that another server answered at the address of @p id, which gets no requests until a newer report of it or a new address arrives. */
     void noteAddressReused(const backend_server_id &id);
     /**
-     * Applies what the server @p id stated in an answer. It holds for this run of the server, whatever the store reports of the run later.
-     *
-     * @p sentAt is when the request was sent; an answer that names no rate limit ends the limit only if its request was sent after the limit was last named.
-     * Returns true if it changes which requests the server gets.
+     * Applies what the server @p id stated in its answer to a request that was sent at @p sentAt; see server_run_state::apply(). It holds for this run of the
+     * server, whatever the store reports of the run later. Returns true if it changes which requests the server gets.
      */
     bool noteAnnouncement(const backend_server_id &id, const server_announcement &announced, time_point sentAt, time_point now);
     /** Records that the store could not be reached; meanwhile it may lose the entries of live servers. */
@@ -113,21 +113,12 @@
     std::map<failure_domain_id, std::size_t> usableServerCountByDomain() const;
 
 private:
-    /** What is known of a run of a server from its answers. It outlives the entry, because the store may list the same run again. */
-    struct run_state
-    {
-        bool leaving = false; ///< The server announced that it is shutting down.
-        time_point pausedUntil{}; ///< The server wants no requests before.
-        bool replaced = false; ///< Another server answers at its address.
-        announced_rate_limit limit;
-        time_point limitNamedAt{}; ///< When the server last named its rate limit.
-    };
     struct server
     {
         backend_entry entry;
         backend_health health;
         std::optional<time_point> expiresAt; ///< Set while the entry is missing in the store: the server is dropped at this time unless it is listed again.
-        run_state run;
+        server_run_state run;
         time_point coldUntil{};
         std::int64_t warmUpSecond = 0; ///< The second to which warmUpRequests applies.
         unsigned warmUpRequests = 0; ///< Requests that this node sent in that second while the server was cold.
@@ -138,7 +129,7 @@
         std::uint64_t startedMs = 0;
         std::uint64_t sequence = 0;
         std::string address;
-        run_state run;
+        server_run_state run;
         time_point removedAt{};
     };
 
@@ -158,9 +149,10 @@
     bool usable(const server &candidate) const;
     /** The earliest time, @p now or later, at which the server may get a request; time_point::max() if never. */
     time_point availableAt(const server &candidate, time_point now) const;
+    /** As availableAt(), but time_point::max() if the server's rate limit is used up. */
     time_point waitableAt(const server &candidate, time_point now) const;
-    /** Updates the rate limit of a run. Returns true if it begins, ends or changes. */
-    bool updateLimit(run_state &run, const server_announcement &announced, time_point sentAt, time_point now);
+    /** The earliest of the times that @p timeOf returns for the servers of the service. */
+    time_point earliest(const service_id &service, std::invocable<const server &> auto &&timeOf) const;
     /** True if requests may go to servers of this version of the service. */
     bool versionAllows(const server &candidate) const;
     /** True unless the server is cold and this node has used up its share of the server's warm-up rate. */
--- a/policy/fact_kind.h
+++ b/policy/fact_kind.h
@@ -16,7 +16,7 @@
     draining_node = 6,
     configuration = 7, ///< A configuration version was committed; the payload is its number.
     node_capacity = 8, ///< The payload is "<node id>=<number>": the processor cores that the node may use, in thousandths of a core.
-    approved_version = 10, ///< A node that judges a move found no fault until its end; see makeApprovedVersionFact(). The value 9 was used before.
+    approved_version = 10, ///< A coordinator of a move found no fault until its end; see makeApprovedVersionFact(). The value 9 was used before.
 };
 
 } // namespace snipefall
--- a/tests/platform/test_wire_names.cpp
+++ b/tests/platform/test_wire_names.cpp
@@ -9,11 +9,11 @@
 namespace fs = std::filesystem;
 
 /** Names that only the platform uses; words that the project uses as well, such as "version", are left out. */
-constexpr const char *PLATFORM_NAMES[] = {"Server-Stamp", "Expect-Instance",    "Not-Executed",   "Part-Stamps",    "Missing-Parts",   "Deadline-Ms",
-                                          "Warmup-Ms",    "/snipefall/",        "seq_no",         "warmup_left_ms", "warmup_per_s",    "path_prefix",
-                                          "route_kind",   "weighted_split",     "top_k",          "max_conns",      "finish_by_s",     "target_latency_ms",
-                                          "listen_addrs", "fault_tolerance",    "store_revision", "\"gather\"",     "\"evacuations\"", "\"rollouts\"",
-                                          "stale_ok",     "retry_budget_ratio", "retry_slack\""};
+constexpr const char *PLATFORM_NAMES[] = {"Server-Stamp",    "Server-Leaving",    "Server-Limit", "Expect-Instance",    "Not-Executed",   "Part-Stamps",
+                                          "Missing-Parts",   "Deadline-Ms",       "Warmup-Ms",    "/snipefall/",        "seq_no",         "warmup_left_ms",
+                                          "warmup_per_s",    "path_prefix",       "route_kind",   "weighted_split",     "top_k",          "max_conns",
+                                          "finish_by_s",     "target_latency_ms", "listen_addrs", "fault_tolerance",    "store_revision", "\"gather\"",
+                                          "\"evacuations\"", "\"rollouts\"",      "stale_ok",     "retry_budget_ratio", "retry_slack\""};
 
 std::string textOf(const fs::path &path)
 {
--- a/tests/policy/test_backend_table.cpp
+++ b/tests/policy/test_backend_table.cpp
@@ -2,6 +2,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "policy/backend_table.h"
+#include "policy/server_announcement.h"
 
 using namespace snipefall;
 
--- a/tests/policy/test_request_execution.cpp
+++ b/tests/policy/test_request_execution.cpp
@@ -7,6 +7,7 @@
 #include "policy/request_execution.h"
 #include "policy/return_schedule.h"
 #include "policy/route_latency_tracker.h"
+#include "policy/server_announcement.h"
 #include "policy/shared_retry_budget.h"
 
 using namespace snipefall;
@@ -320,7 +321,7 @@
     {"another server has its address", [](backend_table &servers, const backend_server_id &id) { servers.noteAddressReused(id); }},
     {"its version is stopped",
      [](backend_table &servers, const backend_server_id &id) {
-         servers.setVersionShares({{servers.find(id)->service, {servers.find(id)->version, 0, false}}});
+         servers.setVersionShares({{servers.find(id)->service, {servers.find(id)->version, 0, false, {}}}});
      }},
 };
 
--- a/tests/tier/move_cluster.cpp
+++ b/tests/tier/move_cluster.cpp
@@ -53,14 +53,14 @@
     node.store = std::make_unique<store_client>(m_loop, m_store.address());
     node.driver = std::make_unique<move_driver>(*node.store, *node.board, gossip_network::idOf(index));
     node.driver->setLimits({LIMITS.share, LIMITS.slack / static_cast<double>(m_options.nodes)});
-    node.driver->setPeers({[this, index](fact item) { m_network.engine(index).publish(m_network.now(), std::move(item)); },
+    node.driver->setPeers({[this, index](fact item) { static_cast<void>(m_network.engine(index).publish(m_network.now(), std::move(item))); },
                            [this, index](fact_kind kind) { return m_network.engine(index).facts().ofKind(m_network.now(), kind); },
                            [this, index] {
                                const auto &live = m_network.engine(index).nodes().others().live();
                                return static_cast<std::size_t>(
                                    std::count_if(live.begin(), live.end(), [index](const node_id &id) { return id < gossip_network::idOf(index); }));
                            },
-                           [this, index](const std::string &message) { sendToJudges(index, message); }});
+                           [this, index](const std::string &message) { sendToCoordinators(index, message); }});
     for (const simulated_service &service : m_services) {
         for (int i = 0; i < 6; ++i) {
             backend_entry entry;
@@ -101,23 +101,23 @@
     }
 }
 
-void move_cluster::sendToJudges(std::size_t sender, const std::string &message)
+void move_cluster::sendToCoordinators(std::size_t sender, const std::string &message)
 {
-    std::vector<std::size_t> judges(m_nodes.size());
-    std::iota(judges.begin(), judges.end(), 0U);
-    std::sort(judges.begin(), judges.end(), [](std::size_t a, std::size_t b) { return gossip_network::idOf(a) < gossip_network::idOf(b); });
-    judges.resize(std::min(judges.size(), move_driver::JUDGES));
-    for (const std::size_t judge : judges) {
-        if (judge != sender && m_random() % 100 >= LOST_DATAGRAMS_PERCENT) {
-            m_reports.emplace_back(sender, judge, message);
+    std::vector<std::size_t> coordinators(m_nodes.size());
+    std::iota(coordinators.begin(), coordinators.end(), 0U);
+    std::sort(coordinators.begin(), coordinators.end(), [](std::size_t a, std::size_t b) { return gossip_network::idOf(a) < gossip_network::idOf(b); });
+    coordinators.resize(std::min(coordinators.size(), move_driver::COORDINATORS));
+    for (const std::size_t coordinator : coordinators) {
+        if (coordinator != sender && m_random() % 100 >= LOST_DATAGRAMS_PERCENT) {
+            m_reports.emplace_back(sender, coordinator, message);
         }
     }
 }
 
 void move_cluster::deliverFacts()
 {
-    for (const auto &[sender, judge, message] : std::exchange(m_reports, {})) {
-        m_nodes[judge].driver->applyCountReport(gossip_network::idOf(sender), message);
+    for (const auto &[sender, coordinator, message] : std::exchange(m_reports, {})) {
+        m_nodes[coordinator].driver->applyCountReport(gossip_network::idOf(sender), message);
     }
     for (std::size_t i = 0; i < m_nodes.size(); ++i) {
         for (const fact_kind kind : {fact_kind::bad_version, fact_kind::approved_version}) {
--- a/tests/tier/move_cluster.h
+++ b/tests/tier/move_cluster.h
@@ -68,7 +68,7 @@
     void sendRequest(simulated_node &node, simulated_service &service, time_point at, bool targetIsFaulty);
     void deliverStoreChanges();
     void deliverFacts();
-    void sendToJudges(std::size_t sender, const std::string &message);
+    void sendToCoordinators(std::size_t sender, const std::string &message);
     json orderOf(const simulated_service &service) const { return m_store.find("rollouts", service.id.str()); }
 
     options m_options;
--- a/tier/move_driver.cpp
+++ b/tier/move_driver.cpp
@@ -20,11 +20,11 @@
 
 /** How often a node reports its counts during the canary phase. After it the counts are reported at each run, because the move's end is near. */
 constexpr duration COUNTS_INTERVAL = std::chrono::seconds(1);
-/** How often all counts are reported, also unchanged ones: a datagram may have been lost, and another node may have become a judge. */
+/** How often all counts are reported, also unchanged ones: a datagram may have been lost, and another node may have become a coordinator. */
 constexpr duration ALL_COUNTS_INTERVAL = std::chrono::seconds(5);
 /** Bytes of a report that fit one datagram with its envelope. */
 constexpr std::size_t MAX_REPORT_BYTES = 1000;
-/** A judge waits for this time after the full phase for the last reports to arrive. */
+/** A coordinator waits for this time after the full phase for the last reports to arrive. */
 constexpr duration LAST_REPORTS_TIME = std::chrono::milliseconds(300);
 /**
  * A node waits this long for each node ranked before it, so that their write and the store's notification of it arrive first. MAX_DELAYED_RANK bounds the
@@ -185,7 +185,7 @@
     const move_observations own = move.detector.observations(now);
     reportCounts(move, own, now);
     const move_observations all = countsOfAllNodes(move, own);
-    if (isJudge()) {
+    if (isCoordinator()) {
         logCounts(move, all, now);
     }
     timed_move_controller::decision decision = move.controller.decide(all, m_board.servers.usableServerCount(move.order.service, move.order.target), now);
@@ -195,10 +195,10 @@
     if (!move.fault.empty()) {
         decision = {move_action::roll_back, true, move.fault};
     } else if (decision.action == move_action::finish && !move.approved) {
-        if (isJudge() && now >= move.controller.finishAt() + LAST_REPORTS_TIME) {
+        if (isCoordinator() && now >= move.controller.finishAt() + LAST_REPORTS_TIME) {
             approveTarget(move, decision.reason);
         } else {
-            decision = {move_action::none, false, "awaiting the judges"};
+            decision = {move_action::none, false, "awaiting the approval of a coordinator"};
         }
     }
     if (decision.action == move_action::roll_back) {
@@ -230,7 +230,7 @@
         }
         move.reported[route] = counts;
         for (const std::string &message : encodeCountReport({move.order.service, move.order.moveId, route, counts}, MAX_REPORT_BYTES)) {
-            m_peers.sendToJudges(message);
+            m_peers.sendToCoordinators(message);
         }
     }
 }
--- a/tier/move_driver.h
+++ b/tier/move_driver.h
@@ -25,11 +25,11 @@
 /**
  * Carries out the version moves that operators order through the store.
  *
- * Every node splits its own requests between the versions by its own clock, counts their answers, and sends the counts directly to the judges, the first nodes
- * by rank. Gossip would repeat each count at every node, which exceeds its rate limit where many nodes share the requests. The judges decide by the sum of all
- * counts. A node that finds the target version faulty publishes that to all nodes at once, so that the target gets no more requests anywhere, and records the
- * rollback in the store. A move is only recorded as done after a judge has approved the version. Nodes that would write the same status wait according to
- * their rank, so that usually only the first one writes.
+ * Every node splits its own requests between the versions by its own clock, counts their answers, and sends the counts directly to the coordinators, the first
+ * nodes by rank. Gossip would repeat each count at every node, which exceeds its rate limit where many nodes share the requests. The coordinators decide by the
+ * sum of all counts. A node that finds the target version faulty publishes that to all nodes at once, so that the target gets no more requests anywhere, and
+ * records the rollback in the store. A move is only recorded as done after a coordinator has approved the version. Nodes that would write the same status wait
+ * according to their rank, so that usually only the first one writes.
  */
 class move_driver
 {
@@ -40,11 +40,11 @@
         std::function<void(fact)> publish;
         std::function<std::vector<fact>(fact_kind)> facts; ///< All known facts of a kind, including those of this node.
         std::function<std::size_t()> rank; ///< The number of live nodes whose ids sort before this node's.
-        std::function<void(const std::string &)> sendToJudges; ///< Sends a message to the other nodes among the first JUDGES by rank.
+        std::function<void(const std::string &)> sendToCoordinators; ///< Sends a message to the other nodes among the first COORDINATORS by rank.
     };
 
-    /** Number of nodes that judge moves; more than one, because a judge may be cut off or restart. */
-    static constexpr std::size_t JUDGES = 3;
+    /** Number of nodes that coordinate moves; more than one, because a coordinator may be cut off or restart. */
+    static constexpr std::size_t COORDINATORS = 3;
 
     move_driver(store_client &store, tier_blackboard &board, node_id self);
 
@@ -82,9 +82,9 @@
         fault_detector detector;
         std::uint64_t answers = 0; ///< Answers of both versions that this node received.
         std::string fault; ///< Why the target version gets no requests; empty while no fault is known.
-        bool approved = false; ///< A judge found no fault until the end of the move.
+        bool approved = false; ///< A coordinator found no fault until the end of the move.
         move_count_ledger peerCounts;
-        counts_by_route reported; ///< The counts that were last sent to the judges.
+        counts_by_route reported; ///< The counts that were last sent to the coordinators.
         time_point countsReportedAt{};
         time_point allCountsReportedAt{};
         time_point countsLoggedAt{};
@@ -97,7 +97,7 @@
     void reportCounts(running_move &move, const move_observations &own, time_point now);
     void logCounts(running_move &move, const move_observations &all, time_point now) const;
     static move_observations countsOfAllNodes(const running_move &move, move_observations own);
-    bool isJudge() const { return m_peers.rank() < JUDGES; }
+    bool isCoordinator() const { return m_peers.rank() < COORDINATORS; }
     void stopTarget(running_move &move, const std::string &reason);
     /** True if a later order moves the service to the version again. */
     bool isOrderedAgain(const service_id &service, const version_id &version, const std::string &moveId) const;
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -99,7 +99,7 @@
     m_moveDriver.setPeers({[this](fact ownFact) { m_peers.publish(std::move(ownFact)); },
                            [this](fact_kind kind) { return m_peers.facts(kind); },
                            [this] { return m_peers.rank(); },
-                           [this](const std::string &report) { m_peers.sendToFirst(move_driver::JUDGES, message_kind::move_counts, report); }});
+                           [this](const std::string &report) { m_peers.sendToFirst(move_driver::COORDINATORS, message_kind::move_counts, report); }});
     m_peers.onMessage(message_kind::move_counts, [this](const node_id &sender, const std::string &report) { m_moveDriver.applyCountReport(sender, report); });
     m_crashController.setFactPublisher([this](fact ownFact) { m_peers.publish(std::move(ownFact)); });
     applyBootSettings();
