Let a node use the slots of a rate limit that it missed a moment ago

With 7 nodes and a limit of 27 a second, a node could keep one unused slot of 0.29 s, so that requests that came in clusters found no slot: 0.64 of what the server takes was used at a load of 60 a second, and callers were refused.

All slots now expire after the same time, and a node may use those that have not expired. What all nodes together can save up is as before: what the server takes in 1.5 s, plus 2 requests.

--- a/policy/announced_rate_limit.cpp
+++ b/policy/announced_rate_limit.cpp
@@ -46,19 +46,21 @@
     m_validity = std::chrono::duration_cast<duration>(validity);
 }
 
+time_point announced_rate_limit::nextSlot(time_point now) const
+{
+    const duration overdue = now - m_validity - m_slotStart;
+    return overdue < duration::zero() ? m_slotStart : m_slotStart + (overdue / m_interval + 1) * m_interval;
+}
+
 time_point announced_rate_limit::availableAt(time_point now) const
 {
-    if (!m_active || now < m_slotStart) {
-        return m_active ? m_slotStart : now;
-    }
-    const duration sinceSlotStart = (now - m_slotStart) % m_interval;
-    return sinceSlotStart < m_validity ? now : now - sinceSlotStart + m_interval;
+    return m_active ? std::max(now, nextSlot(now)) : now;
 }
 
 void announced_rate_limit::take(time_point now)
 {
     if (m_active) {
-        m_slotStart = now + m_interval;
+        m_slotStart = nextSlot(now) + m_interval;
     }
 }
 
--- a/policy/announced_rate_limit.h
+++ b/policy/announced_rate_limit.h
@@ -9,9 +9,8 @@
 /**
  * This node's share of the request rate that a backend server takes from all nodes together.
  *
- * The share is divided into slots of equal length, each good for one request. The nodes' slots are out of phase, so that the requests of all nodes are spread.
- * Where a server takes fewer requests than there are nodes, a slot that isn't used early expires: otherwise the nodes would save one request each and could
- * send all of them together when the load rises.
+ * The share is divided into slots of equal length, each good for one request. A slot that isn't used expires after a time that is the same for all nodes:
+ * otherwise each of them could save up requests, and all could send them together when the load rises. The nodes' slots are out of phase.
  */
 class announced_rate_limit
 {
@@ -33,13 +32,15 @@
 
 private:
     void updateInterval();
+    /** The start of the earliest slot that is unused and has not expired. */
+    time_point nextSlot(time_point now) const;
 
     bool m_active = false;
     double m_requestsPerSecond = 0; ///< From all nodes together.
     std::size_t m_nodes = 1;
     duration m_interval{};
     duration m_validity{}; ///< How long a slot may be used from its start.
-    time_point m_slotStart{}; ///< Start of the earliest slot that wasn't used.
+    time_point m_slotStart{}; ///< Start of the earliest unused slot, expired or not.
 };
 
 } // namespace snipefall
--- a/tests/policy/test_announced_rate_limit.cpp
+++ b/tests/policy/test_announced_rate_limit.cpp
@@ -71,8 +71,9 @@
         }
         BOOST_REQUIRE(static_cast<double>(recent.size()) <= 1.5 * 4 * row.requestsPerSecond + 5);
     }
-    // With much more load than the server takes, nearly all of what it takes is used.
-    if (row.load >= 10 * row.requestsPerSecond) {
+    // Where the nodes are few or the load is much more than the server takes, nearly all of what it takes is used.
+    const bool fewNodes = static_cast<double>(row.nodes) <= row.requestsPerSecond;
+    if (row.load >= (fewNodes ? 2 : 10) * row.requestsPerSecond) {
         BOOST_TEST(static_cast<double>(sentUnderLoad) >= 0.8 * 60 * row.requestsPerSecond);
     }
 }
--- a/tests/policy/test_backend_table.cpp
+++ b/tests/policy/test_backend_table.cpp
@@ -187,7 +187,10 @@
     BOOST_TEST(!table.choose(SERVICE, {}, backend_table::suspended_server_policy::excluded, MEDIAN_LATENCY, later).has_value());
     BOOST_TEST(chosenServer(table, later) == "a");
     table.noteAnnouncement(backend_server_id("a"), limitOf(0), later, later);
-    chosenServer(table, later + std::chrono::seconds(4));
+    // By then it takes at most two requests of this node.
+    for (int i = 0; i < 2; ++i) {
+        chosenServer(table, later + std::chrono::seconds(4));
+    }
     BOOST_TEST((table.waitableAt(SERVICE, later + std::chrono::seconds(4)) == time_point::max()));
     BOOST_TEST((table.availableAt(SERVICE, later + std::chrono::seconds(4)) < time_point::max()));
     BOOST_TEST(!table.seemsIsolated(later + std::chrono::seconds(4)));
