Print every failed check of a test program, not only its last lines

Two known red tests failed once with an unknown check, because the runner prints the last 80 lines of a program and the programs log more than that after a check.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -81,7 +81,9 @@
             print(f"{name}: {len(ok)} passed, {len(unexpected)} failed", flush=True)
             if unexpected:
                 lines = [line for line in output.splitlines() if not re.search(r"(Entering|Leaving) test", line)]
-                print("\n".join(lines[-80:]))
+                # Programs log a lot between a failed check and their end.
+                checks = [line for line in lines[:-80] if re.search(r"(error|fatal error): in ", line)]
+                print("\n".join(checks + lines[-80:]))
     for case in expected_failures:
         print(f"known red: {case}")
     for case in failed:
