--- a/tests/tier/test_move_driver.cpp
+++ b/tests/tier/test_move_driver.cpp
@@ -111,7 +111,7 @@
     BOOST_TEST(published.front().key == finding.key);
 
     move_driver late(store, board, node_id("m"));
-    late.setPeers({[](fact) {}, [](fact_kind) { return std::vector<fact>(); }, [] { return std::size_t{1}; }, [](const std::string &) {}});
+    late.setPeers({[](const fact &) {}, [](fact_kind) { return std::vector<fact>(); }, [] { return std::size_t{1}; }, [](const std::string &) {}});
     late.applyPeerFact(finding);
     BOOST_TEST(isStopped());
     late.applyPeerFact(published.front());
