Split the tier tests by subject

test_tier had grown to 745 lines: moves and announcements of servers have files of their own, and the emulated site with its nodes a header.

--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -4,7 +4,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "tests/stand_ins/site_emulator.h"
+#include "tests/tier/running_site.h"
 #include "tier/object_watcher.h"
 #include "tier/store_retry_coordinator.h"
 
@@ -13,11 +13,6 @@
 
 namespace {
 
-constexpr int MOVE_SECONDS = 8;
-/** Ends the loop if a move never does; far more queries than are sent during a move. */
-constexpr std::size_t MAX_QUERIES = 20000;
-constexpr std::size_t QUERIES_BEFORE_FAULT = 250;
-
 struct crashing_case
 {
     const char *name;
@@ -31,140 +26,6 @@
     return out << row.name;
 }
 
-/** An emulated site with nodes that are ready to serve. */
-struct running_site
-{
-    explicit running_site(std::size_t nodes = 2, site_emulator::options options = {})
-        : site(options)
-    {
-        for (std::size_t i = 0; i < nodes; ++i) {
-            names.push_back("node-" + std::to_string(i));
-            site.startNode(names.back(), "zone-" + std::to_string(i % 2));
-        }
-        for (const std::string &name : names) {
-            BOOST_REQUIRE(site.waitReady(name));
-        }
-    }
-
-    /** How often servers of the plain service began to run the request with this id. */
-    std::size_t runsOfRequest(const std::string &id)
-    {
-        return site.onLoop([&] {
-            std::size_t runs = 0;
-            for (site_backend *server : site.serversOf(site_emulator::UNSHARDED_SERVICE)) {
-                for (const site_backend::run &run : server->runs()) {
-                    runs += run.requestId == id ? 1 : 0;
-                }
-            }
-            return runs;
-        });
-    }
-
-    void setFaults(const std::string &service, const site_backend::faults &faults)
-    {
-        site.onLoop([&] {
-            for (site_backend *server : site.serversOf(service)) {
-                server->setFaults(faults);
-            }
-        });
-    }
-
-    /** How often servers of a service began to run requests for this target. */
-    std::size_t runsOfTarget(const std::string &service, const std::string &target)
-    {
-        return site.onLoop([&] {
-            std::ptrdiff_t runs = 0;
-            for (site_backend *server : site.serversOf(service)) {
-                runs += std::count_if(server->runs().begin(), server->runs().end(), [&](const site_backend::run &run) { return run.target == target; });
-            }
-            return static_cast<std::size_t>(runs);
-        });
-    }
-
-    bool refuses(const crashing_case &request, const std::string &node)
-    {
-        const site_caller::request message{request.method, site_emulator::HOST, request.path, "", site.uniqueRequestId(), milliseconds(500)};
-        return site.call(site.addresses(node).callers, message).body == "crashes_backend_servers\n";
-    }
-
-    /** Makes servers crash on the request's path and sends the request until the node refuses it; false if that takes too long. */
-    bool becomesQuarantined(const crashing_case &request, const std::string &node)
-    {
-        site.onLoop([&] { site.crashServersOnTarget(request.path); });
-        return site_emulator::waitFor([&] { return refuses(request, node); });
-    }
-
-    bool queriesSucceed()
-    {
-        return site_emulator::waitFor(
-            [&] { return std::all_of(names.begin(), names.end(), [&](const auto &node) { return site.query(node).status == 200; }); });
-    }
-
-    /** Starts servers of version v2 with these faults and orders a move to that version. */
-    void startMove(const std::string &service, const site_backend::faults &faults)
-    {
-        for (const char *domain : {"zone-0", "zone-1"}) {
-            site.addServer(service, domain, "v2");
-        }
-        setFaultsOfVersion(service, "v2", faults);
-        site.onLoop([&] { site.store().put("rollouts", service, {{"service", service}, {"target_version", "v2"}, {"finish_by_s", MOVE_SECONDS}}); });
-    }
-
-    void setFaultsOfVersion(const std::string &service, const std::string &version, const site_backend::faults &faults)
-    {
-        site.onLoop([&] {
-            for (site_backend *server : site.serversOf(service)) {
-                if (server->settings().version == version) {
-                    server->setFaults(faults);
-                }
-            }
-        });
-    }
-
-    std::string moveState(const std::string &service)
-    {
-        const json object = site.onLoop([&] { return site.store().find("rollouts", service); });
-        return object["status"].is_object() ? object["status"].value("state", "") : "";
-    }
-
-    std::size_t arrivalsAt(const std::string &service, const std::string &version)
-    {
-        return site.onLoop([&] {
-            std::uint64_t arrivals = 0;
-            for (site_backend *server : site.serversOf(service)) {
-                arrivals += server->settings().version == version ? server->arrivals() : 0;
-            }
-            return static_cast<std::size_t>(arrivals);
-        });
-    }
-
-    /** True if any of 40 queries, spread over all nodes, reaches servers of the version. */
-    bool queriesReach(const std::string &service, const std::string &version)
-    {
-        const std::size_t before = arrivalsAt(service, version);
-        for (std::size_t i = 0; i < 40; ++i) {
-            site.query(names[i % names.size()]);
-        }
-        return arrivalsAt(service, version) > before;
-    }
-
-    site_emulator site;
-    std::vector<std::string> names;
-};
-
-struct move_case
-{
-    const char *name;
-    site_backend::faults faults; ///< Faults of the target version's servers.
-    bool faultsBeginLater; ///< The faults begin only after QUERIES_BEFORE_FAULT queries.
-    const char *state; ///< State that the move must end with.
-};
-
-std::ostream &operator<<(std::ostream &out, const move_case &row)
-{
-    return out << row.name;
-}
-
 struct refusal_case
 {
     const char *name;
@@ -283,97 +144,6 @@
     }));
 }
 
-// Guards against requests that reach a server after it announced in an answer that it leaves, while the node can't reach the store.
-BOOST_AUTO_TEST_CASE(serversThatAnnounceLeavingGetNoRequestsDuringStoreOutage)
-{
-    running_site running(1);
-    running.site.onLoop([&] { running.site.store().setCondition(site_store::condition::silent); });
-    site_backend *leaving = running.site.onLoop([&] {
-        site_backend *server = running.site.serversOf("shard-0").front();
-        server->setAnnouncements({true, milliseconds(0)});
-        return server;
-    });
-    const auto arrivals = [&] { return running.site.onLoop([&] { return leaving->arrivals(); }); };
-    const auto before = arrivals();
-    BOOST_REQUIRE(site_emulator::waitFor([&] {
-        running.site.query("node-0");
-        return arrivals() > before;
-    }));
-    // The answer that says so may still be on its way to the node when the query ends.
-    std::this_thread::sleep_for(milliseconds(200));
-    const auto announced = arrivals();
-    for (int i = 0; i < 60; ++i) {
-        const site_caller::request request = running.site.queryRequest();
-        BOOST_TEST(running.site.findAnswerProblem(running.site.call(running.site.addresses("node-0").callers, request), request) == "");
-    }
-    BOOST_TEST(arrivals() == announced);
-}
-
-// Guards against requests that reach a server during the time for which it asked for none, and against callers that wait for it until their deadline.
-BOOST_AUTO_TEST_CASE(refusingServersGetNoRequestsUntilTheyAskedFor)
-{
-    constexpr milliseconds PAUSE(4000);
-    running_site running(1);
-    running.site.onLoop([&] {
-        for (site_backend *server : running.site.serversOf(site_emulator::UNSHARDED_SERVICE)) {
-            server->setAnnouncements({false, PAUSE});
-            server->setFaults({0, 100, 0, false, milliseconds(0)});
-        }
-    });
-    const auto arrivals = [&] {
-        return running.site.onLoop([&] {
-            std::uint64_t sum = 0;
-            for (site_backend *server : running.site.serversOf(site_emulator::UNSHARDED_SERVICE)) {
-                sum += server->arrivals();
-            }
-            return sum;
-        });
-    };
-    BOOST_TEST(running.site.order("node-0").status == 503U);
-    const auto before = arrivals();
-    BOOST_TEST(before == 3U);
-    double lastRetryAfterS = 0;
-    for (int i = 0; i < 10; ++i) {
-        const site_caller::answer answer = running.site.order("node-0");
-        BOOST_TEST(answer.status == 503U);
-        BOOST_TEST(answer.retryAfterS > 1);
-        BOOST_TEST(answer.retryAfterS <= 4);
-        lastRetryAfterS = answer.retryAfterS;
-    }
-    BOOST_TEST(arrivals() == before);
-    running.setFaults(site_emulator::UNSHARDED_SERVICE, {});
-    std::this_thread::sleep_for(std::chrono::duration<double>(lastRetryAfterS));
-    BOOST_TEST(site_emulator::waitFor([&] { return running.site.order("node-0").status == 200; }));
-}
-
-// Guards against more requests to a server than it takes by the rate limit that it names, from all nodes together.
-BOOST_AUTO_TEST_CASE(serversGetNoMoreRequestsThanTheirLimit)
-{
-    constexpr double LIMIT = 3;
-    constexpr std::chrono::seconds SETTLING(4);
-    constexpr std::chrono::seconds WINDOW(4);
-    running_site running(2);
-    site_backend *limited = running.site.onLoop([&] {
-        site_backend *server = running.site.serversOf("shard-0").front();
-        server->setAnnouncements({false, milliseconds(0), LIMIT});
-        return server;
-    });
-    const auto begin = std::chrono::steady_clock::now();
-    for (std::size_t i = 0; std::chrono::steady_clock::now() - begin < SETTLING + 2 * WINDOW; ++i) {
-        const site_caller::request request = running.site.queryRequest();
-        BOOST_TEST(running.site.findAnswerProblem(running.site.call(running.site.addresses(running.names[i % 2]).callers, request), request) == "");
-    }
-    const std::vector<site_backend::run> runs = running.site.onLoop([&] { return limited->runs(); });
-    BOOST_TEST(!runs.empty());
-    std::size_t most = 0;
-    for (const site_backend::run &first : runs) {
-        const auto inWindow =
-            std::count_if(runs.begin(), runs.end(), [&](const site_backend::run &run) { return run.at >= first.at && run.at < first.at + WINDOW; });
-        most = std::max(most, first.at < begin + SETTLING ? 0 : static_cast<std::size_t>(inWindow));
-    }
-    BOOST_TEST(static_cast<double>(most) <= 1.5 * 4 * LIMIT + 5);
-}
-
 // Guards against a node that stops serving, or drops servers whose entries the store lost, when the store refuses calls or goes silent.
 BOOST_AUTO_TEST_CASE(nodeServesDuringStoreOutage)
 {
@@ -546,113 +316,6 @@
     BOOST_TEST(site_emulator::waitFor([&] { return running.site.query("node-0").status == 404; }));
 }
 
-const move_case MOVE_CASES[] = {
-    {"good", {}, false, "done"},
-    {"failing", {40, 0, 0, false, milliseconds(0)}, false, "rolled_back"},
-    {"losing answers", {0, 0, 40, false, milliseconds(0)}, false, "rolled_back"},
-    {"slow", {0, 0, 0, false, milliseconds(40)}, false, "rolled_back"},
-    {"failing later", {40, 0, 0, false, milliseconds(0)}, true, "rolled_back"},
-};
-
-// Guards against moves to good versions that are not done by their deadline, and against bad versions that are not rolled back or get more requests than the
-// canary limits allow.
-BOOST_DATA_TEST_CASE(movesEndByTheirDeadline, boost::unit_test::data::make(MOVE_CASES), row)
-{
-    running_site running(2);
-    running.startMove("shard-0", row.faultsBeginLater ? site_backend::faults{} : row.faults);
-    const std::size_t before = running.arrivalsAt("shard-0", "v1");
-    std::size_t queries = 0;
-    while (running.moveState("shard-0") != "done" && running.moveState("shard-0") != "rolled_back" && queries < MAX_QUERIES) {
-        running.site.query(running.names[queries % 2]);
-        ++queries;
-        if (row.faultsBeginLater && queries == QUERIES_BEFORE_FAULT) {
-            running.setFaultsOfVersion("shard-0", "v2", row.faults);
-        }
-    }
-    BOOST_TEST(running.moveState("shard-0") == row.state);
-    const std::size_t target = running.arrivalsAt("shard-0", "v2");
-    const std::size_t all = running.arrivalsAt("shard-0", "v1") - before + target;
-    BOOST_TEST(target > 0U);
-    if (row.state == std::string("rolled_back")) {
-        BOOST_TEST(static_cast<double>(target) <= site_emulator::CANARY_SHARE * static_cast<double>(all) + site_emulator::CANARY_SLACK);
-    }
-    // After the end of the move, only one of the two versions gets requests.
-    const char *stopped = row.state == std::string("done") ? "v1" : "v2";
-    BOOST_TEST(site_emulator::waitFor([&running, stopped] { return !running.queriesReach("shard-0", stopped); }));
-}
-
-// Guards against a bad version that keeps getting requests because its rollback can't be written while the store refuses calls.
-BOOST_AUTO_TEST_CASE(badVersionsAreStoppedDuringStoreOutage)
-{
-    running_site running(2);
-    running.startMove("shard-0", {40, 0, 0, false, milliseconds(0)});
-    BOOST_REQUIRE(site_emulator::waitFor([&] { return running.queriesReach("shard-0", "v2"); }));
-    running.site.onLoop([&] { running.site.store().setCondition(site_store::condition::refusing); });
-    BOOST_TEST(site_emulator::waitFor([&] { return !running.queriesReach("shard-0", "v2"); }));
-    BOOST_TEST(running.moveState("shard-0") != "rolled_back");
-    running.site.onLoop([&] { running.site.store().setCondition(site_store::condition::fault_free); });
-    BOOST_TEST(site_emulator::waitFor([&] { return running.moveState("shard-0") == "rolled_back"; }));
-}
-
-struct stopped_version_case
-{
-    const char *name;
-    void (*change)(running_site &running); ///< What happens after the bad version v2 was rolled back.
-};
-
-std::ostream &operator<<(std::ostream &out, const stopped_version_case &row)
-{
-    return out << row.name;
-}
-
-void removeOrder(running_site &running)
-{
-    running.site.onLoop([&] { running.site.store().remove("rollouts", "shard-0"); });
-    BOOST_REQUIRE(site_emulator::waitFor([&] { return running.site.logOf("node-0").find("event=move.removed") != std::string::npos; }));
-}
-
-const stopped_version_case STOPPED_VERSION_CASES[] = {
-    {"the order is removed", removeOrder},
-    {"another version is ordered",
-     [](running_site &running) {
-         running.site.addServer("shard-0", "zone-0", "v3");
-         running.site.onLoop([&] { running.site.store().remove("rollouts", "shard-0"); });
-         running.site.onLoop([&] { running.site.store().put("rollouts", "shard-0", {{"service", "shard-0"}, {"target_version", "v3"}, {"finish_by_s", 60}}); });
-         BOOST_REQUIRE(site_emulator::waitFor([&] { return running.site.logOf("node-0").find("target=v3") != std::string::npos; }));
-     }},
-    {"a node restarts after the order was removed",
-     [](running_site &running) {
-         removeOrder(running);
-         running.site.node("node-0").signal(SIGKILL);
-         running.site.node("node-0").wait();
-         running.site.startNode("node-0", "zone-0");
-         BOOST_REQUIRE(running.site.waitReady("node-0"));
-         // The node learns of the version from its peers.
-         BOOST_REQUIRE(site_emulator::waitFor([&] { return !running.queriesReach("shard-0", "v2"); }));
-     }},
-};
-
-// Guards against requests to a version that was found faulty, after the order of its move is gone or was replaced.
-BOOST_DATA_TEST_CASE(faultyVersionStaysStoppedAfterItsMove, boost::unit_test::data::make(STOPPED_VERSION_CASES), row)
-{
-    running_site running(2);
-    running.startMove("shard-0", {40, 0, 0, false, milliseconds(0)});
-    BOOST_REQUIRE(site_emulator::waitFor([&] {
-        running.queriesReach("shard-0", "v2");
-        return running.moveState("shard-0") == "rolled_back";
-    }));
-    for (const std::string &node : running.names) {
-        BOOST_REQUIRE(site_emulator::waitFor([&] { return running.site.logOf(node).find("event=move.target_stopped") != std::string::npos; }));
-    }
-    row.change(running);
-    // Refusals make requests go on to the next server.
-    running.setFaultsOfVersion("shard-0", "v1", {0, 80, 0, false, milliseconds(0)});
-    for (int i = 0; i < 3; ++i) {
-        BOOST_TEST(!running.queriesReach("shard-0", "v2"));
-        std::this_thread::sleep_for(milliseconds(300));
-    }
-}
-
 const crashing_case CRASHING_CASES[] = {
     {"query", "GET", "/query/poison", "shard-0"},
     {"order", "POST", "/order/poison", site_emulator::UNSHARDED_SERVICE},
@@ -664,11 +327,11 @@
     site_emulator::options options;
     options.proxies = true;
     running_site running(2, options);
-    BOOST_TEST(running.becomesQuarantined(row, "node-0"));
-    BOOST_TEST(running.becomesQuarantined(row, "node-1"));
+    BOOST_TEST(running.becomesQuarantined(row.method, row.path, "node-0"));
+    BOOST_TEST(running.becomesQuarantined(row.method, row.path, "node-1"));
     const std::size_t before = running.runsOfTarget(row.service, row.path);
     for (std::size_t i = 0; i < 10; ++i) {
-        BOOST_TEST(running.refuses(row, running.names[i % 2]));
+        BOOST_TEST(running.refuses(row.method, row.path, running.names[i % 2]));
     }
     BOOST_TEST(running.runsOfTarget(row.service, row.path) == before);
     BOOST_TEST(running.queriesSucceed());
