Wait for the stop of the bad version, not for queries that miss it by chance

The nodes' logs of a run that failed again show the cause: the test took 40 queries without one that reaches the version for its stop. A canary share of some 6% is missed by all 40 now and then, before any bad answer; the test then sends nothing more, and the move rightly ends as done (80 answers of the old version, 1 good one of the new).

The test now sends queries until both nodes have logged the stop, and then asks at once that no query reaches the version; before, it could ask again for 60 s.

--- a/tests/tier/running_site.h
+++ b/tests/tier/running_site.h
@@ -130,6 +130,13 @@
         return arrivalsAt(service, version) > before;
     }
 
+    /** True if all nodes have stopped the target version of a move as faulty. */
+    bool isStoppedEverywhere() const
+    {
+        return std::all_of(
+            names.begin(), names.end(), [&](const std::string &node) { return site.logOf(node).find("event=move.target_stopped") != std::string::npos; });
+    }
+
     site_emulator site;
     std::vector<std::string> names;
 };
--- a/tests/tier/test_moves.cpp
+++ b/tests/tier/test_moves.cpp
@@ -108,7 +108,11 @@
     running.startMove("shard-0", {40, 0, 0, false, milliseconds(0)});
     BOOST_REQUIRE(site_emulator::waitFor([&] { return running.queriesReach("shard-0", "v2"); }));
     running.site.onLoop([&] { running.site.store().setCondition(site_store::condition::refusing); });
-    BOOST_TEST(site_emulator::waitFor([&] { return !running.queriesReach("shard-0", "v2"); }));
+    BOOST_REQUIRE(site_emulator::waitFor([&] {
+        running.queriesReach("shard-0", "v2");
+        return running.isStoppedEverywhere();
+    }));
+    BOOST_TEST(!running.queriesReach("shard-0", "v2"));
     BOOST_TEST(running.moveState("shard-0") != "rolled_back");
     running.site.onLoop([&] { running.site.store().setCondition(site_store::condition::fault_free); });
     BOOST_TEST(site_emulator::waitFor([&] { return running.moveState("shard-0") == "rolled_back"; }));
@@ -123,9 +127,7 @@
         running.queriesReach("shard-0", "v2");
         return running.moveState("shard-0") == "rolled_back";
     }));
-    for (const std::string &node : running.names) {
-        BOOST_REQUIRE(site_emulator::waitFor([&] { return running.site.logOf(node).find("event=move.target_stopped") != std::string::npos; }));
-    }
+    BOOST_REQUIRE(site_emulator::waitFor([&] { return running.isStoppedEverywhere(); }));
     row.change(running);
     // Refusals make requests go on to the next server.
     running.setFaultsOfVersion("shard-0", "v1", {0, 80, 0, false, milliseconds(0)});
