Decide in one place what is kept of a server's run

apply() and insert() each had the rule for what is kept of a server's run when a new report arrives, and isStale() had its comparison twice, because the memory of removed servers held single fields. It now holds the last entry, so that one function serves each pair. A phase is drawn only if an answer names a rate limit, not for every answer.

--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -4,6 +4,8 @@
 #include <cmath>
 #include <iterator>
 
+#include "policy/server_announcement.h"
+
 namespace snipefall {
 
 namespace {
@@ -30,6 +32,26 @@
 /** Connections to a server whose limit is not configured. */
 constexpr std::size_t DEFAULT_CONNECTIONS = 64;
 
+/** True if @p report is from an earlier run than @p last, or an earlier report of the same run. */
+bool isOlder(const backend_entry &report, const backend_entry &last)
+{
+    if (report.startedMs != 0 && last.startedMs != 0 && report.startedMs != last.startedMs) {
+        return report.startedMs < last.startedMs;
+    }
+    return report.sequence < last.sequence;
+}
+
+/** What is known of the server's run after @p report, if it was @p known after the @p last report. */
+server_run_state runStateAfter(const backend_entry &report, const backend_entry &last, const server_run_state &known)
+{
+    if (report.startedMs != last.startedMs) {
+        return server_run_state();
+    }
+    server_run_state state = known;
+    state.setReplaced(known.isReplaced() && report.address == last.address && report.sequence <= last.sequence);
+    return state;
+}
+
 } // namespace
 
 backend_table::backend_table(failure_domain_id ownDomain, std::uint64_t seed)
@@ -40,22 +62,11 @@
 
 bool backend_table::isStale(const backend_entry &entry) const
 {
-    const auto known = m_servers.find(entry.id);
-    if (known != m_servers.end()) {
-        const backend_entry &current = known->second.entry;
-        if (entry.startedMs != 0 && current.startedMs != 0 && entry.startedMs != current.startedMs) {
-            return entry.startedMs < current.startedMs;
-        }
-        return entry.sequence < current.sequence;
+    if (const auto known = m_servers.find(entry.id); known != m_servers.end()) {
+        return isOlder(entry, known->second.entry);
     }
     const auto removed = m_removed.find(entry.id);
-    if (removed == m_removed.end()) {
-        return false;
-    }
-    if (entry.startedMs != 0 && removed->second.startedMs != 0 && entry.startedMs != removed->second.startedMs) {
-        return entry.startedMs < removed->second.startedMs;
-    }
-    return entry.sequence < removed->second.sequence;
+    return removed != m_removed.end() && isOlder(entry, removed->second.entry);
 }
 
 void backend_table::insert(const backend_entry &entry, time_point now)
@@ -63,11 +74,8 @@
     server &added = m_servers[entry.id];
     added.entry = entry;
     if (const auto removed = m_removed.find(entry.id); removed != m_removed.end()) {
-        const removed_server &before = removed->second;
-        const bool sameRun = before.startedMs == entry.startedMs;
-        added.run = sameRun ? before.run : server_run_state();
+        added.run = runStateAfter(entry, removed->second.entry, removed->second.run);
         added.run.setNodeCount(m_nodeCount);
-        added.run.setReplaced(added.run.isReplaced() && before.address == entry.address && before.sequence >= entry.sequence);
         m_removed.erase(removed);
     }
     added.coldUntil = now + entry.warmUpLeft;
@@ -90,13 +98,10 @@
         insert(entry, now);
         return true;
     }
-    const bool sameRun = current.entry.startedMs == entry.startedMs;
-    const bool sameAddress = current.entry.address == entry.address;
-    if (!sameRun || !sameAddress) {
+    if (current.entry.startedMs != entry.startedMs || current.entry.address != entry.address) {
         current.health.reset();
     }
-    current.run = sameRun ? current.run : server_run_state();
-    current.run.setReplaced(current.run.isReplaced() && sameAddress && current.entry.sequence >= entry.sequence);
+    current.run = runStateAfter(entry, current.entry, current.run);
     current.entry = entry;
     current.expiresAt.reset();
     current.coldUntil = now + entry.warmUpLeft;
@@ -154,7 +159,11 @@
     if (const auto removed = m_removed.find(id); !run && removed != m_removed.end()) {
         run = &removed->second.run;
     }
-    return run && run->apply(announced, sentAt, m_nodeCount, std::uniform_real_distribution<double>(0.0, 1.0)(m_randomEngine), now);
+    if (!run) {
+        return false;
+    }
+    const double phase = announced.requestsPerSecond ? std::uniform_real_distribution<double>(0.0, 1.0)(m_randomEngine) : 0;
+    return run->apply(announced, sentAt, m_nodeCount, phase, now);
 }
 
 void backend_table::setNodeCount(std::size_t nodes)
@@ -200,7 +209,7 @@
 {
     const auto known = m_servers.find(id);
     server &erased = known->second;
-    m_removed[id] = removed_server{erased.entry.startedMs, erased.entry.sequence, erased.entry.address, erased.run, now};
+    m_removed[id] = removed_server{erased.entry, erased.run, now};
     const auto service = m_byService.find(erased.entry.service);
     std::erase(service->second, &erased);
     if (service->second.empty()) {
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -91,7 +91,7 @@
     time_point reachableAt(const service_id &service, time_point now) const;
     /** The mean time between the requests that this node's share of the capacity of the service's servers allows, by their rate limits or their slots. */
     duration requestInterval(const service_id &service, duration medianLatency) const;
-    /** True if the service has a server that may get requests and is not suspended as unreachable. */
+    /** True if the service has a server that may get requests and is not suspended as unreachable, whether or not it is paused or at its rate limit. */
     bool hasReachableServer(const service_id &service, time_point now) const;
     /** True if so many services have no reachable server that this node itself is probably isolated by a network partition. */
     bool seemsIsolated(time_point now) const;
@@ -126,9 +126,7 @@
     /** The last report of a removed server, to recognize reports that arrive late, and the state of its last run. */
     struct removed_server
     {
-        std::uint64_t startedMs = 0;
-        std::uint64_t sequence = 0;
-        std::string address;
+        backend_entry entry;
         server_run_state run;
         time_point removedAt{};
     };
