Find the move of a message in one function

Facts of peers, reports of counts and results of writes each looked for the move with their id. A node kept whole histograms to know what it had reported, of which it compared one number. An approval is handled before the findings of faults, whose conditions don't concern it. No change of behaviour.

--- a/policy/bad_version_fact.h
+++ b/policy/bad_version_fact.h
@@ -10,7 +10,7 @@
 struct bad_version_fact
 {
     service_id service;
-    version_id version;
+    version_id version; ///< Empty in a notice that takes back an earlier one of the same move.
     std::string moveId; ///< The only move that the fact applies to; a repaired build may use the same version name in a later move.
     std::string reason;
 
--- a/tier/move_driver.cpp
+++ b/tier/move_driver.cpp
@@ -137,31 +137,38 @@
         logWarning("peers.fact_malformed", {{"key", peerFact.key}, {"origin", peerFact.origin.str()}});
         return;
     }
-    const auto known = m_moves.find(found->service);
-    const bool isCurrent = known != m_moves.end() && known->second->order.moveId == found->moveId;
+    running_move *move = findMove(found->service, found->moveId);
+    if (peerFact.kind == fact_kind::approved_version) {
+        if (move) {
+            move->approved = true;
+        }
+        return;
+    }
     if (found->version.empty()) {
         std::erase_if(m_faultyVersions[found->service], [&found](const auto &item) { return item.second == found->moveId; });
         publishShares(now());
         return;
     }
-    const bool isDone = isCurrent && known->second->order.recorded == move_outcome::done;
-    if (peerFact.kind == fact_kind::bad_version && !isDone && !isOrderedAgain(found->service, found->version, found->moveId)) {
+    const bool isDone = move && move->order.recorded == move_outcome::done;
+    if (!isDone && !isOrderedAgain(found->service, found->version, found->moveId)) {
         m_faultyVersions[found->service][found->version] = found->moveId;
         publishShares(now());
     }
-    if (!isCurrent || !known->second->fault.empty()) {
+    if (!move || !move->fault.empty()) {
         return; // apply() reads the fact again when its move arrives later.
     }
-    if (peerFact.kind == fact_kind::approved_version) {
-        known->second->approved = true;
-        return;
-    }
-    known->second->fault = found->reason;
+    move->fault = found->reason;
     logWarning("move.target_stopped",
                {{"service", found->service.str()}, {"target", found->version.str()}, {"reason", found->reason}, {"origin", peerFact.origin.str()}});
     publishShares(now());
 }
 
+move_driver::running_move *move_driver::findMove(const service_id &service, const std::string &moveId)
+{
+    const auto known = m_moves.find(service);
+    return known != m_moves.end() && known->second->order.moveId == moveId ? known->second.get() : nullptr;
+}
+
 void move_driver::runDue(time_point now)
 {
     for (auto &[service, move] : m_moves) {
@@ -224,11 +231,12 @@
         move.allCountsReportedAt = now;
     }
     for (const auto &[route, counts] : own.step) {
-        const bool changed = counts.newVersion.answers != move.reported[route].newVersion.answers;
+        std::uint64_t &reportedAnswers = move.reportedAnswers[route];
+        const bool changed = counts.newVersion.answers != reportedAnswers;
         if (counts.newVersion.answers == 0 || !(all || changed)) {
             continue;
         }
-        move.reported[route] = counts;
+        reportedAnswers = counts.newVersion.answers;
         for (const std::string &message : encodeCountReport({move.order.service, move.order.moveId, route, counts}, MAX_REPORT_BYTES)) {
             m_peers.sendToCoordinators(message);
         }
@@ -242,9 +250,8 @@
         logWarning("peers.count_report_malformed", {{"sender", sender.str()}, {"reason", report.reason().message}});
         return;
     }
-    const auto known = m_moves.find(report->service);
-    if (known != m_moves.end() && known->second->order.moveId == report->moveId) {
-        known->second->peerCounts.apply(sender, report->route, report->counts);
+    if (running_move *move = findMove(report->service, report->moveId)) {
+        move->peerCounts.apply(sender, report->route, report->counts);
     }
 }
 
@@ -298,16 +305,11 @@
 
 void move_driver::liftStop(const version_move &order)
 {
-    const auto versions = m_faultyVersions.find(order.service);
-    if (versions == m_faultyVersions.end()) {
-        return;
-    }
-    const auto stopped = versions->second.find(order.target);
-    if (stopped == versions->second.end() || stopped->second != order.moveId) {
+    const auto isOfThisMove = [&order](const auto &item) { return item.first == order.target && item.second == order.moveId; };
+    if (std::erase_if(m_faultyVersions[order.service], isOfThisMove) == 0) {
         return;
     }
     logWarning("move.stop_lifted", {{"service", order.service.str()}, {"target", order.target.str()}, {"move", order.moveId}});
-    versions->second.erase(stopped);
     // Replaces the finding at all nodes, so that none that starts later stops the only version that is left.
     m_peers.publish(makeBadVersionFact({order.service, version_id(), order.moveId, "recorded as done"}));
 }
@@ -336,19 +338,19 @@
                                        {"reason", reason},
                                        {"revision", std::to_string(order.revision.value())},
                                        {"result", written ? "written" : written.reason().message}});
-                              const auto known = m_moves.find(order.service);
-                              if (known == m_moves.end() || known->second->order.moveId != order.moveId) {
+                              running_move *current = findMove(order.service, order.moveId);
+                              if (!current) {
+                                  return;
+                              }
+                              current->writing = false;
+                              current->writeDueSince = time_point{};
+                              if (!written || *written <= current->order.revision) {
                                   return;
                               }
-                              running_move &current = *known->second;
-                              current.writing = false;
-                              current.writeDueSince = time_point{};
-                              if (written && *written > current.order.revision) {
-                                  current.order.revision = *written;
-                                  current.order.recorded = recorded;
-                                  if (recorded == move_outcome::done) {
-                                      liftStop(current.order);
-                                  }
+                              current->order.revision = *written;
+                              current->order.recorded = recorded;
+                              if (recorded == move_outcome::done) {
+                                  liftStop(current->order);
                               }
                           });
 }
--- a/tier/move_driver.h
+++ b/tier/move_driver.h
@@ -84,7 +84,7 @@
         std::string fault; ///< Why the target version gets no requests; empty while no fault is known.
         bool approved = false; ///< A coordinator found no fault until the end of the move.
         move_count_ledger peerCounts;
-        counts_by_route reported; ///< The counts that were last sent to the coordinators.
+        std::map<std::string, std::uint64_t> reportedAnswers; ///< By route, the target's answers in the last report to the coordinators.
         time_point countsReportedAt{};
         time_point allCountsReportedAt{};
         time_point countsLoggedAt{};
@@ -93,6 +93,8 @@
         bool writing = false; ///< A status write has no answer yet.
     };
 
+    /** The move with this id; null if the service has none, or another one. */
+    running_move *findMove(const service_id &service, const std::string &moveId);
     void run(running_move &move, time_point now);
     void reportCounts(running_move &move, const move_observations &own, time_point now);
     void logCounts(running_move &move, const move_observations &all, time_point now) const;
