Admit whole queries by the share that their servers can answer in time

Cause: each query sent its parts at once, however long the queues of the servers were. Beyond about 1.5 times the usual load all queues grew alike, as every query takes a part of every shard, and hardly any query was answered in time.

Change: policy/query_admission admits a share of the queries on arrival and rejects the rest at once, with a Retry-After that still leaves time for an answer. All nodes see the same servers, so none has to tell another.

--- a/policy/request_execution.cpp
+++ b/policy/request_execution.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "policy/query_admission.h"
 #include "policy/return_schedule.h"
 #include "policy/route_latency_tracker.h"
 #include "policy/shared_retry_budget.h"
@@ -43,12 +44,14 @@
                                      backend_table &servers,
                                      shared_retry_budget &budget,
                                      return_schedule &returns,
-                                     const route_latency_tracker &latencies)
+                                     const route_latency_tracker &latencies,
+                                     query_admission &admission)
     : m_route(route)
     , m_times(times)
     , m_servers(servers)
     , m_budget(budget)
     , m_returns(returns)
+    , m_admission(admission)
 {
     const duration defaultLatency = route.targetLatency / DEFAULT_LATENCY_DIVISOR;
     m_medianLatency = latencies.medianLatency(route.name, defaultLatency);
@@ -77,6 +80,12 @@
         finishNotRun(isSufficient(m_parts.size() - unreachable) ? "servers_unavailable" : "servers_unreachable", now, step);
         return step;
     }
+    if (m_route.isQuery() && !m_admission.admit(m_route, now)) {
+        execution_step step;
+        finish(execution_result::kind::not_run, "overloaded", step);
+        step.result->retryAfter = m_admission.retryAfter(m_route, m_times, now);
+        return step;
+    }
     return advance(now);
 }
 
@@ -370,6 +379,7 @@
         open += part.answer == NONE && !cannotBeAnswered(part, now) ? 1 : 0;
     }
     const bool sufficient = isSufficient(answered);
+    reportResponse(sufficient, now);
     if (sufficient && !m_sufficientSince) {
         m_sufficientSince = now;
     }
@@ -391,6 +401,15 @@
     }
 }
 
+void request_execution::reportResponse(bool sufficient, time_point now)
+{
+    if (!m_route.isQuery() || m_responseReported || !(sufficient || now >= m_times.target)) {
+        return;
+    }
+    m_responseReported = true;
+    m_admission.recordResponse(m_route, now - m_times.received, now);
+}
+
 void request_execution::finishWithAnswers(execution_step &step)
 {
     finish(execution_result::kind::answered, "", step);
--- a/policy/request_execution.h
+++ b/policy/request_execution.h
@@ -15,6 +15,7 @@
 namespace snipefall {
 
 class backend_table;
+class query_admission;
 class return_schedule;
 class route_latency_tracker;
 class shared_retry_budget;
@@ -35,7 +36,8 @@
                       backend_table &servers,
                       shared_retry_budget &budget,
                       return_schedule &returns,
-                      const route_latency_tracker &latencies);
+                      const route_latency_tracker &latencies,
+                      query_admission &admission);
 
     /** Sends the first sub-request of each part, or ends the request immediately if too few parts have a reachable server. Called once. */
     execution_step start(time_point now);
@@ -99,6 +101,8 @@
     bool holdRetry(part_state &part, time_point now);
     bool meetsMinCoverage(std::size_t answered) const;
     void finishIfDue(time_point now, execution_step &step);
+    /** Reports the response time of a query to the admission once its answers are @p sufficient, or it is late. */
+    void reportResponse(bool sufficient, time_point now);
     void finish(execution_result::kind outcome, std::string reason, execution_step &step);
     void finishWithAnswers(execution_step &step);
     /** Ends a request that no server has run, with the time after which the caller may come back. */
@@ -114,12 +118,14 @@
     backend_table &m_servers;
     shared_retry_budget &m_budget;
     return_schedule &m_returns;
+    query_admission &m_admission;
     std::vector<part_state> m_parts;
     std::vector<attempt> m_attempts;
     duration m_medianLatency;
     duration m_hedgeDelay;
     std::optional<time_point> m_sufficientSince; ///< When the answers first sufficed for a result.
     time_point m_wakeAt;
+    bool m_responseReported = false; ///< Whether the response time of the query was reported to the admission.
     bool m_anyAnswer = false; ///< Whether some server answered a sub-request, even with a server error.
     bool m_anyConnectionLost = false; ///< Whether the connection of some sub-request closed without an answer.
     bool m_retryConnectionLost = false; ///< Whether the same happened to a retry or hedge.
--- a/tests/policy/test_request_execution.cpp
+++ b/tests/policy/test_request_execution.cpp
@@ -1,9 +1,11 @@
 #include <algorithm>
+#include <deque>
 #include <map>
 
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "policy/query_admission.h"
 #include "policy/request_execution.h"
 #include "policy/return_schedule.h"
 #include "policy/route_latency_tracker.h"
@@ -50,11 +52,19 @@
 
     request_execution start(execution_step &step)
     {
-        request_execution execution(route, services, times, servers, budget, returns, latencies);
+        request_execution execution(route, services, times, servers, budget, returns, latencies, admission);
         step = execution.start(START);
         return execution;
     }
 
+    /** Makes the admission reject most queries at START. */
+    void overload()
+    {
+        for (int i = 100; i >= 0; --i) {
+            admission.recordResponse(route, milliseconds(i > 80 ? 5 : 400), START - milliseconds(10) * i);
+        }
+    }
+
     request_route route;
     std::vector<service_id> services;
     request_times times;
@@ -62,6 +72,7 @@
     shared_retry_budget budget;
     return_schedule returns;
     route_latency_tracker latencies;
+    query_admission admission{1};
 };
 
 struct failure_case
@@ -273,7 +284,8 @@
     std::size_t answered = 0;
     duration before{};
     for (int i = 0; i < 3; ++i) {
-        request_execution execution(fixture.route, fixture.services, fixture.times, fixture.servers, fixture.budget, fixture.returns, fixture.latencies);
+        request_execution execution(
+            fixture.route, fixture.services, fixture.times, fixture.servers, fixture.budget, fixture.returns, fixture.latencies, fixture.admission);
         const execution_step step = execution.start(later);
         if (!step.result) {
             BOOST_TEST(step.sends.size() == 4U);
@@ -436,4 +448,43 @@
     BOOST_TEST(step.result.has_value() == row.resultKnown);
 }
 
+// Guards against a rejected query that still sends sub-requests, and against one whose answer claims that it may have run.
+BOOST_AUTO_TEST_CASE(rejectedQueriesSendNothing)
+{
+    request_fixture fixture(4);
+    fixture.overload();
+    std::size_t rejected = 0;
+    for (int i = 0; i < 10; ++i) {
+        execution_step step;
+        request_execution execution = fixture.start(step);
+        if (!step.result) {
+            continue;
+        }
+        ++rejected;
+        BOOST_TEST(step.sends.empty());
+        BOOST_TEST((step.result->outcome == execution_result::kind::not_run));
+        BOOST_TEST(step.result->reason == "overloaded");
+        BOOST_TEST(step.result->retryAfter.count() > 0);
+        BOOST_TEST((step.result->retryAfter <= milliseconds(1000) / 3));
+    }
+    BOOST_TEST(rejected >= 5U);
+}
+
+// Guards against an admission that learns of late queries only when they end, while more of them arrive.
+BOOST_AUTO_TEST_CASE(lateQueriesCountBeforeTheyEnd)
+{
+    request_fixture fixture(4);
+    fixture.admission.recordResponse(fixture.route, milliseconds(5), START);
+    std::deque<request_execution> running;
+    for (time_point now = START; now < START + milliseconds(800); now += milliseconds(20)) {
+        const request_times times{now, now + milliseconds(90), now + milliseconds(990), now + milliseconds(1000)};
+        running.emplace_back(fixture.route, fixture.services, times, fixture.servers, fixture.budget, fixture.returns, fixture.latencies, fixture.admission);
+        running.back().start(now);
+        for (request_execution &execution : running) {
+            BOOST_TEST(!execution.tick(now).result.has_value());
+        }
+    }
+    BOOST_TEST(fixture.admission.isThrottled(fixture.route, START + milliseconds(800)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -54,8 +54,14 @@
     , m_times(times)
     , m_writer(m_exchange->request())
     , m_partCount(services.size())
-    , m_execution(
-          route, std::move(services), times, dependencies.board.servers, dependencies.board.budget, dependencies.board.returns, dependencies.board.latencies)
+    , m_execution(route,
+                  std::move(services),
+                  times,
+                  dependencies.board.servers,
+                  dependencies.board.budget,
+                  dependencies.board.returns,
+                  dependencies.board.latencies,
+                  dependencies.board.admission)
     , m_timer(dependencies.loop)
 {
 }
--- a/tier/tier_blackboard.h
+++ b/tier/tier_blackboard.h
@@ -5,6 +5,7 @@
 #include "core/clock.h"
 #include "policy/backend_table.h"
 #include "policy/caller_wait_estimator.h"
+#include "policy/query_admission.h"
 #include "policy/return_schedule.h"
 #include "policy/route_latency_tracker.h"
 #include "policy/route_matcher.h"
@@ -17,6 +18,7 @@
 {
     explicit tier_blackboard(const failure_domain_id &domain, std::uint64_t seed)
         : servers(domain, seed)
+        , admission(seed)
     {
     }
 
@@ -30,6 +32,7 @@
     return_schedule returns;
     route_latency_tracker latencies;
     caller_wait_estimator elapsed;
+    query_admission admission;
 
     /** True if the node knows where it may send requests; a started node must not send any before. */
     bool knowsTargets() const { return routes && serversKnown && domainsKnown && movesKnown; }
