--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -405,4 +405,23 @@
     }
 }
 
+// Guards against a metric in which queries rejected under overload can't be told from those whose servers are lost.
+BOOST_AUTO_TEST_CASE(refusedRequestsAreCountedByReason)
+{
+    running_site running(1);
+    running.site.onLoop([&] {
+        for (const char *service : {"shard-1", "shard-2"}) {
+            for (site_backend *server : running.site.serversOf(service)) {
+                server->withdraw();
+            }
+        }
+    });
+    BOOST_REQUIRE(site_emulator::waitFor([&] { return running.site.query("node-0").status == 503U; }));
+    site_caller::request request;
+    request.target = "/metrics";
+    request.host = "metrics";
+    const site_caller::answer answer = running.site.call(running.site.addresses("node-0").metrics, request);
+    BOOST_TEST(answer.body.find("snipefall_requests_total{outcome=\"servers_unreachable\"}") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -304,7 +304,8 @@
             outcomeCounts += fmt::format("{}{}:{}", outcomeCounts.empty() ? "" : ",", toString(static_cast<attempt_outcome>(kind)), count);
         }
     }
-    m_dependencies.metrics.requestEnded(m_route.name, std::string(outcome), latency);
+    const bool refused = outcome == toString(execution_result::kind::not_run) && !reason.empty();
+    m_dependencies.metrics.requestEnded(m_route.name, refused ? reason : std::string(outcome), latency);
     logInfo("request.ended",
             {{"request", m_request.id.str()},
              {"route", m_route.name},
