Repeat the first list of a started node soon when the store doesn't answer

Calls that reach a silent store get no answer after its return either, so 87 of 88 nodes waited 1.5 s for the time-out and were ready at second 38.25 to 38.7, though the store answered a node that started 0.3 s later at once. Ruled out: slow lists (20 ms) and the program's start.

Change: until the first list has succeeded, its calls time out after 0.4 s, doubled with each failure up to the usual 1.5 s.

Test: tier_tests/firstListIsRepeatedSoonWithoutAnAnswer failed before.

--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -379,6 +379,30 @@
     BOOST_TEST(retryCoordinator.waiting() == 0U);
 }
 
+// Guards against a node that starts in a store outage and serves nobody long after it, because it waits for a call that the store will never answer.
+BOOST_AUTO_TEST_CASE(firstListIsRepeatedSoonWithoutAnAnswer)
+{
+    boost::asio::io_context loop;
+    site_store store(loop);
+    store.setCondition(site_store::condition::silent);
+    store_client client(loop, store.address());
+    store_retry_coordinator retryCoordinator;
+    bool listed = false;
+    object_watcher watcher(loop, client, retryCoordinator, "a", {[&](const object_listing &) { listed = true; }, [](const object_changes &) {}, [](bool) {}});
+    watcher.start(read_freshness::newest);
+    bool otherCallEnded = false;
+    client.list("b", read_freshness::newest, store_client::CALL_TIMEOUT, [&](const outcome<object_listing> &) { otherCallEnded = true; });
+    const std::uint64_t before = client.calls();
+    while (!otherCallEnded) {
+        loop.run_one();
+    }
+    BOOST_TEST(client.calls() >= before + 2);
+    store.setCondition(site_store::condition::fault_free);
+    while (!listed) {
+        loop.run_one();
+    }
+}
+
 // Guards against changes to the settings file that take effect only after a restart, whether or not a signal announces them.
 BOOST_AUTO_TEST_CASE(settingsAreReloaded)
 {
--- a/tier/node_registration.cpp
+++ b/tier/node_registration.cpp
@@ -21,7 +21,7 @@
 
 void node_registration::list(read_freshness freshness)
 {
-    m_store.list(wire::NODES_KIND, freshness, [this](const outcome<object_listing> &listing) {
+    m_store.list(wire::NODES_KIND, freshness, store_client::CALL_TIMEOUT, [this](const outcome<object_listing> &listing) {
         if (!listing) {
             scheduleRetry();
             return;
--- a/tier/object_watcher.cpp
+++ b/tier/object_watcher.cpp
@@ -19,6 +19,11 @@
  * servers that it names are known.
  */
 constexpr duration COALESCE_TIME = std::chrono::milliseconds(250);
+/**
+ * Time-out of the first list, doubled with each failure. A node serves no caller before it, and a call that reached the store during an outage gets no answer
+ * even after the outage.
+ */
+constexpr duration FIRST_LIST_TIMEOUT = std::chrono::milliseconds(400);
 constexpr duration FIRST_RETRY_PAUSE = std::chrono::milliseconds(100);
 /** Upper bound of the retry back-off, so that a recovered store is noticed well within the time limits for applying changes. */
 constexpr duration MAX_RETRY_PAUSE = std::chrono::milliseconds(800);
@@ -47,7 +52,7 @@
 {
     const std::uint64_t callNumber = ++m_callNumber;
     m_watching = false;
-    m_store.list(m_kind, freshness, [this, callNumber](const outcome<object_listing> &listing) {
+    m_store.list(m_kind, freshness, listTimeout(), [this, callNumber](const outcome<object_listing> &listing) {
         if (callNumber != m_callNumber) {
             return;
         }
@@ -57,6 +62,7 @@
             return;
         }
         noteSuccess();
+        m_listed = true;
         m_revision = listing->storeRevision;
         for (const stored_object &object : listing->objects) {
             m_newestRevision = std::max(m_newestRevision, object.revision);
@@ -66,6 +72,11 @@
     });
 }
 
+duration object_watcher::listTimeout() const
+{
+    return m_listed ? store_client::CALL_TIMEOUT : std::min(FIRST_LIST_TIMEOUT * (1U << std::min(m_failures, 2U)), store_client::CALL_TIMEOUT);
+}
+
 void object_watcher::scheduleList(duration pause)
 {
     scheduleAfter(m_retryCoordinator.mayRetry(*this) ? pause : MAX_WAIT_FOR_OTHER_WATCHER, [this] { list(read_freshness::newest); });
--- a/tier/object_watcher.h
+++ b/tier/object_watcher.h
@@ -39,6 +39,7 @@
     void watch();
     /** Lists after @p pause, or after MAX_WAIT_FOR_OTHER_WATCHER if another watcher already retries on behalf of all. */
     void scheduleList(duration pause);
+    duration listTimeout() const;
     void noteFailure(const failure &reason);
     void noteSuccess();
     void scheduleAfter(duration pause, std::function<void()> action);
@@ -51,6 +52,7 @@
     object_version m_revision; ///< Store revision from which the next watch continues.
     object_version m_newestRevision;
     bool m_watching = false; ///< A watch is pending.
+    bool m_listed = false; ///< Some list has succeeded.
     unsigned m_failures = 0; ///< Failed calls in a row.
     std::uint64_t m_callNumber = 0; ///< Of the latest call; answers to earlier calls are ignored.
     bool m_reachable = true;
