--- a/tier/object_watcher.cpp
+++ b/tier/object_watcher.cpp
@@ -20,8 +20,8 @@
  */
 constexpr duration COALESCE_TIME = std::chrono::milliseconds(250);
 /**
- * Time-out of the first list, doubled with each failure. A node serves no caller before it, and a call that reached the store during an outage gets no answer
- * even after the outage.
+ * Time-out of the first list, doubled with every other failure. A node serves no caller before it, and a call that reached the store during an outage gets no
+ * answer even after the outage.
  */
 constexpr duration FIRST_LIST_TIMEOUT = std::chrono::milliseconds(400);
 constexpr duration FIRST_RETRY_PAUSE = std::chrono::milliseconds(100);
@@ -74,7 +74,7 @@
 
 duration object_watcher::listTimeout() const
 {
-    return m_listed ? store_client::CALL_TIMEOUT : std::min(FIRST_LIST_TIMEOUT * (1U << std::min(m_failures, 2U)), store_client::CALL_TIMEOUT);
+    return m_listed ? store_client::CALL_TIMEOUT : std::min(FIRST_LIST_TIMEOUT * (1U << std::min(m_failures / 2, 2U)), store_client::CALL_TIMEOUT);
 }
 
 void object_watcher::scheduleList(duration pause)
