Forget routes and shards that get no queries

Cause: query_admission kept the response times of every route and set of shards ever named, and visited a group's routes with each response. Change: they are dropped a minute after their last response. Test: query_admission_tests/droppedRoutesAreForgotten, for an accessor that did not exist before; without the removal it counts 100 routes (by construction, not run).

--- a/policy/query_admission.cpp
+++ b/policy/query_admission.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 
 #include "policy/request_route.h"
 #include "policy/request_times.h"
@@ -37,6 +38,8 @@
 constexpr double MAX_SAMPLE_WEIGHT = 0.6;
 /** Older response times don't say how loaded the servers are now. */
 constexpr duration MAX_RESPONSE_AGE = std::chrono::seconds(2);
+/** Routes without queries for this long are forgotten, because the configuration may have dropped them. */
+constexpr duration RETENTION = std::chrono::minutes(1);
 /** Multiple of the average response time that is left for the answer to a caller who returns. */
 constexpr int RESPONSE_MARGIN = 2;
 /** The returns of rejected callers are spread from the latest time divided by this up to the latest time. */
@@ -85,20 +88,24 @@
     return std::min(highest, MAX_EXCESS);
 }
 
-query_admission::shard_group &query_admission::groupOf(const request_route &route)
+const service_id &query_admission::keyOf(const request_route &route)
 {
-    return m_groups[*std::min_element(route.shards.begin(), route.shards.end())];
+    return *std::min_element(route.shards.begin(), route.shards.end());
 }
 
 const query_admission::shard_group *query_admission::findGroup(const request_route &route) const
 {
-    const auto found = m_groups.find(*std::min_element(route.shards.begin(), route.shards.end()));
+    const auto found = m_groups.find(keyOf(route));
     return found == m_groups.end() ? nullptr : &found->second;
 }
 
 bool query_admission::admit(const request_route &route, time_point now)
 {
-    shard_group &group = groupOf(route);
+    const auto found = m_groups.find(keyOf(route));
+    if (found == m_groups.end()) {
+        return true;
+    }
+    shard_group &group = found->second;
     group.credit = std::min(group.credit + group.admittedShare(now), 2.0);
     if (group.credit < 1.0) {
         return false;
@@ -109,7 +116,8 @@
 
 void query_admission::recordResponse(const request_route &route, duration responseTime, time_point now)
 {
-    shard_group &group = groupOf(route);
+    const auto [found, isNew] = m_groups.try_emplace(keyOf(route));
+    shard_group &group = found->second;
     route_state &state = group.routes[route.name];
     const double weight =
         state.updated ? std::clamp(1.0 - std::exp(-seconds(now - *state.updated) / AVERAGE_TIME_S), MIN_SAMPLE_WEIGHT, MAX_SAMPLE_WEIGHT) : 1.0;
@@ -125,6 +133,17 @@
     group.integral = std::clamp(group.integral + change * excess, 0.0, MAX_CONTROL);
     group.proportional = PROPORTIONAL_GAIN * excess;
     group.updated = now;
+
+    const auto isForgotten = [now](const auto &item) { return now - *item.second.updated > RETENTION; };
+    std::erase_if(group.routes, isForgotten);
+    if (isNew) {
+        std::erase_if(m_groups, isForgotten);
+    }
+}
+
+std::size_t query_admission::routeCount() const
+{
+    return std::accumulate(m_groups.begin(), m_groups.end(), std::size_t(0), [](std::size_t sum, const auto &item) { return sum + item.second.routes.size(); });
 }
 
 bool query_admission::isThrottled(const request_route &route, time_point now) const
--- a/policy/query_admission.h
+++ b/policy/query_admission.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <random>
@@ -43,6 +44,9 @@
      */
     duration retryAfter(const request_route &route, const request_times &times, time_point now);
 
+    /** Number of routes whose response times are kept. */
+    std::size_t routeCount() const;
+
 private:
     struct route_state
     {
@@ -67,7 +71,7 @@
         double excess(time_point now) const;
     };
 
-    shard_group &groupOf(const request_route &route);
+    static const service_id &keyOf(const request_route &route);
     const shard_group *findGroup(const request_route &route) const;
     duration expectedResponse(const request_route &route) const;
 
--- a/tests/policy/test_query_admission.cpp
+++ b/tests/policy/test_query_admission.cpp
@@ -142,6 +142,19 @@
     BOOST_TEST(!admission.isThrottled(elsewhere, now));
 }
 
+// Guards against memory and work that grow with every route and set of shards that the configuration ever named.
+BOOST_AUTO_TEST_CASE(droppedRoutesAreForgotten)
+{
+    query_admission admission(1);
+    time_point now = START;
+    for (int i = 0; i < 100; ++i, now += seconds(10)) {
+        request_route route = makeRoute("route " + std::to_string(i));
+        route.shards = {service_id("shard " + std::to_string(i / 2))};
+        admission.recordResponse(route, milliseconds(20), now);
+    }
+    BOOST_TEST(admission.routeCount() <= 8U);
+}
+
 // Guards against rejected callers that return together, or too late to be answered in time although they could be.
 BOOST_AUTO_TEST_CASE(rejectedCallersReturnSpreadAndInTime)
 {
