--- a/policy/request_execution.cpp
+++ b/policy/request_execution.cpp
@@ -297,10 +297,6 @@
     if (part.attempts.size() > 1 || serversThatMayHaveRun(part).size() >= m_route.maxServers) {
         return;
     }
-    if (m_route.isQuery() && m_admission.isThrottled(m_route, now)) {
-        // The servers are overloaded, so that a hedge would only delay the parts of other queries.
-        return;
-    }
     const auto server = m_servers.choose(part.service, triedServers(part), backend_table::suspended_server_policy::excluded, m_medianLatency, now);
     if (!server || !m_budget.tryAcquire(part.service, extra_send_purpose::hedge, now)) {
         return;
