Release requests from quarantine by bounded trials

Cause: a quarantined request leaves quarantine by a success only, and is never sent, so that it can't succeed. A crash of the whole service looks like a crash by the request on each of its servers.

Change: a quarantined request gets trials, granted by conditional writes to the platform's store and therefore bounded for all nodes together (two counted ones in six hours). A trial runs on one server; a query goes to the other shards after the first answer. If another server of the service is lost at the same time, the cause is a common one and the trial isn't counted.

--- a/policy/backend_table.cpp
+++ b/policy/backend_table.cpp
@@ -368,6 +368,21 @@
     return backend_choice{best->entry.id, best->entry.address};
 }
 
+const backend_entry *backend_table::sibling(const backend_server_id &id, time_point now) const
+{
+    const backend_entry *entry = find(id);
+    const auto found = entry ? m_byService.find(entry->service) : m_byService.end();
+    if (found == m_byService.end()) {
+        return nullptr;
+    }
+    for (const server *candidate : found->second) {
+        if (candidate->entry.id != id && candidate->entry.address != entry->address && usable(*candidate) && !candidate->health.suspended(now)) {
+            return &candidate->entry;
+        }
+    }
+    return nullptr;
+}
+
 bool backend_table::isCold(const backend_server_id &id, time_point now) const
 {
     const auto known = m_servers.find(id);
--- a/policy/backend_table.h
+++ b/policy/backend_table.h
@@ -104,6 +104,8 @@
     std::size_t connectionShare(const service_id &service) const;
     /** The entry of a server; null if the server is not in the table. */
     const backend_entry *find(const backend_server_id &id) const;
+    /** Another server of the same service that may get requests and isn't suspended; null if there is none. */
+    const backend_entry *sibling(const backend_server_id &id, time_point now) const;
     /** True while the server is still warming up after its start. */
     bool isCold(const backend_server_id &id, time_point now) const;
     /** The number of servers of a version that may get requests. */
--- a/policy/request_execution.cpp
+++ b/policy/request_execution.cpp
@@ -43,13 +43,15 @@
                                      shared_retry_budget &budget,
                                      return_schedule &returns,
                                      const route_latency_tracker &latencies,
-                                     query_admission &admission)
+                                     query_admission &admission,
+                                     run_mode mode)
     : m_route(route)
     , m_times(times)
     , m_servers(servers)
     , m_budget(budget)
     , m_returns(returns)
     , m_admission(admission)
+    , m_mode(mode)
 {
     const duration defaultLatency = route.targetLatency / DEFAULT_LATENCY_DIVISOR;
     m_medianLatency = latencies.medianLatency(route.name, defaultLatency);
@@ -114,6 +116,11 @@
     if (!m_route.idempotent && mayHaveRun(outcome)) {
         part.noFurtherAttempts = true;
     }
+    if (m_mode == run_mode::trial && !m_anyAnswer && mayHaveRun(outcome)) {
+        for (part_state &untried : m_parts) {
+            untried.noFurtherAttempts = true;
+        }
+    }
     if (outcome == attempt_outcome::not_run) {
         part.nextAttemptAt = now + REFUSAL_BACKOFF * (1U << std::min(part.refusals, 5U)) / 2;
     } else if (outcome != attempt_outcome::answered && part.attempts.size() >= 2) {
@@ -161,6 +168,9 @@
 
 void request_execution::advancePart(std::size_t index, time_point now, execution_step &step)
 {
+    if (waitsForTrial()) {
+        return;
+    }
     part_state &part = m_parts[index];
     abandonTimedOutAttempts(part, now, step);
     if (part.inFlight == 0) {
@@ -253,6 +263,11 @@
     return m_route.isQuery() && m_parts.size() > 1 && m_anyConnectionLost && !m_anyAnswer;
 }
 
+bool request_execution::waitsForTrial() const
+{
+    return m_mode == run_mode::trial && !m_anyAnswer && std::any_of(m_parts.begin(), m_parts.end(), [](const part_state &part) { return part.inFlight > 0; });
+}
+
 bool request_execution::holdRetry(part_state &part, time_point now)
 {
     const bool waiting = std::any_of(m_parts.begin(), m_parts.end(), [](const part_state &item) { return item.inFlight > 0; });
--- a/policy/request_execution.h
+++ b/policy/request_execution.h
@@ -29,6 +29,12 @@
 class request_execution
 {
 public:
+    enum class run_mode
+    {
+        normal,
+        trial, ///< The request may crash servers: only one server gets it until a server has answered it; see crash_trial_record.
+    };
+
     /** @p services holds one service for each part. @p route, @p servers, @p budget and @p returns must outlive the execution. */
     request_execution(const request_route &route,
                       std::vector<service_id> services,
@@ -37,7 +43,8 @@
                       shared_retry_budget &budget,
                       return_schedule &returns,
                       const route_latency_tracker &latencies,
-                      query_admission &admission);
+                      query_admission &admission,
+                      run_mode mode = run_mode::normal);
 
     /** Sends the first sub-request of each part, or ends the request immediately if too few parts have a reachable server. Called once. */
     execution_step start(time_point now);
@@ -92,6 +99,8 @@
     bool cannotBeAnswered(const part_state &part, time_point now) const;
     /** Whether connections of a query were lost and no server has answered yet, so that the query itself may crash the servers that run it. */
     bool mayCrashServers() const;
+    /** Whether a trial has a sub-request in flight and no answer yet, so that it must not be sent to another server. */
+    bool waitsForTrial() const;
     /**
      * Returns true if a retry of a query that may crash servers must not be sent now.
      *
@@ -120,6 +129,7 @@
     shared_retry_budget &m_budget;
     return_schedule &m_returns;
     query_admission &m_admission;
+    run_mode m_mode;
     std::vector<part_state> m_parts;
     std::vector<attempt> m_attempts;
     duration m_medianLatency;
--- a/policy/request_quarantine.cpp
+++ b/policy/request_quarantine.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "policy/crash_trial.h"
+
 namespace snipefall {
 
 namespace {
@@ -66,6 +68,7 @@
     suspicion &entry = m_suspicions[request];
     entry.crashes.insert(event);
     entry.lastCrash = now;
+    entry.nextTrial = std::max(entry.nextTrial, now + CRASH_TRIAL_PAUSE);
 }
 
 void request_quarantine::clear(request_fingerprint request)
@@ -74,6 +77,20 @@
     m_suspicions.erase(request);
 }
 
+time_point request_quarantine::nextTrialAt(request_fingerprint request) const
+{
+    const auto found = m_suspicions.find(request);
+    return found != m_suspicions.end() ? found->second.nextTrial : time_point();
+}
+
+void request_quarantine::postponeTrial(request_fingerprint request, time_point at)
+{
+    const auto found = m_suspicions.find(request);
+    if (found != m_suspicions.end()) {
+        found->second.nextTrial = std::max(found->second.nextTrial, at);
+    }
+}
+
 void request_quarantine::tick(time_point now)
 {
     std::erase_if(m_suspicions, [now](const auto &entry) { return now - entry.second.lastCrash > RETENTION; });
--- a/policy/request_quarantine.h
+++ b/policy/request_quarantine.h
@@ -18,14 +18,15 @@
     unknown, ///< Has not succeeded yet and was in flight at no crash; is sent to a single backend server first.
     known_safe, ///< Has succeeded, so it does not crash servers.
     suspected, ///< Was in flight at one crash.
-    quarantined, ///< Was in flight at two crashes; is refused.
+    quarantined, ///< Was in flight at two crashes; is refused, except in trials.
 };
 
 /**
  * Detects requests that crash backend servers ("queries of death") by their fingerprints.
  *
  * A fingerprint that was in flight at two crashes is quarantined. A request that crashes every server on which it runs never succeeds, so a request that has
- * succeeded is cleared, no matter at how many crashes it was in flight. Not thread-safe.
+ * succeeded is cleared, no matter at how many crashes it was in flight. The crashes may have had another cause, for example the loss of a whole service, so a
+ * quarantined request may succeed in a trial; see crash_trial_record. Not thread-safe.
  */
 class request_quarantine
 {
@@ -56,6 +57,11 @@
     /** Clears a fingerprint because a peer reported that it has succeeded. */
     void clear(request_fingerprint request);
 
+    /** The earliest time of the next trial of a quarantined request. */
+    time_point nextTrialAt(request_fingerprint request) const;
+    /** Delays the next trial of a quarantined request until @p at. */
+    void postponeTrial(request_fingerprint request, time_point at);
+
     /** Drops the suspicions and quarantines whose last crash is older than RETENTION. */
     void tick(time_point now);
 
@@ -67,6 +73,7 @@
     {
         std::set<crash_event> crashes;
         time_point lastCrash;
+        time_point nextTrial;
     };
 
     void markKnownSafe(request_fingerprint request);
--- a/tests/policy/test_request_execution.cpp
+++ b/tests/policy/test_request_execution.cpp
@@ -50,9 +50,9 @@
         times = {START, START + milliseconds(90), START + milliseconds(990), START + milliseconds(1000)};
     }
 
-    request_execution start(execution_step &step)
+    request_execution start(execution_step &step, request_execution::run_mode mode = request_execution::run_mode::normal)
     {
-        request_execution execution(route, services, times, servers, budget, returns, latencies, admission);
+        request_execution execution(route, services, times, servers, budget, returns, latencies, admission, mode);
         step = execution.start(START);
         return execution;
     }
@@ -89,6 +89,33 @@
     return out << row.name;
 }
 
+struct trial_case
+{
+    const char *name;
+    std::size_t shards;
+    attempt_outcome outcome; ///< Of the first sub-request; timed_out if it stays without an end.
+    std::size_t servers; ///< Servers that get the request by its end.
+};
+
+std::ostream &operator<<(std::ostream &out, const trial_case &row)
+{
+    return out << row.name;
+}
+
+const trial_case TRIAL_CASES[] = {
+    {"query, lost", 8, attempt_outcome::lost, 1},
+    {"query, malformed", 8, attempt_outcome::malformed, 1},
+    {"query, no end", 8, attempt_outcome::timed_out, 1},
+    {"query, answered", 8, attempt_outcome::answered, 8},
+    {"query, server error", 8, attempt_outcome::server_error, 9},
+    {"query, refused by the server", 8, attempt_outcome::not_run, 2},
+    {"query, no connection", 8, attempt_outcome::unreachable, 2},
+    {"request to one server, lost", 0, attempt_outcome::lost, 1},
+    {"request to one server, no end", 0, attempt_outcome::timed_out, 1},
+    {"request to one server, answered", 0, attempt_outcome::answered, 1},
+    {"request to one server, no connection", 0, attempt_outcome::unreachable, 2},
+};
+
 const failure_case FAILURE_CASES[] = {
     {"idempotent, lost", true, attempt_outcome::lost, true, execution_result::kind::failed},
     {"idempotent, malformed", true, attempt_outcome::malformed, true, execution_result::kind::failed},
@@ -487,4 +514,32 @@
     BOOST_TEST(fixture.admission.isThrottled(fixture.route, START + milliseconds(800)));
 }
 
+// Guards against a trial of a request that may crash servers in which more than one server gets it before one has answered.
+BOOST_DATA_TEST_CASE(trialReachesOneServerBeforeAnAnswer, boost::unit_test::data::make(TRIAL_CASES), row)
+{
+    request_fixture fixture(row.shards);
+    execution_step step;
+    request_execution execution = fixture.start(step, request_execution::run_mode::trial);
+    BOOST_REQUIRE(step.sends.size() == 1U);
+    std::deque<std::size_t> unanswered;
+    std::size_t sent = 1;
+    step = row.outcome == attempt_outcome::timed_out ? execution.tick(START + milliseconds(5))
+                                                     : execution.subRequestEnded(0, row.outcome, START + milliseconds(5));
+    for (time_point now = START + milliseconds(5); !step.result && now <= fixture.times.end; now += milliseconds(5)) {
+        sent += step.sends.size();
+        for (const sub_request_send &planned : step.sends) {
+            unanswered.push_back(planned.id);
+        }
+        const bool harmless = row.outcome == attempt_outcome::answered || row.outcome == attempt_outcome::server_error;
+        if (harmless && !unanswered.empty()) {
+            step = execution.subRequestEnded(unanswered.front(), attempt_outcome::answered, now);
+            unanswered.pop_front();
+        } else {
+            step = execution.tick(now);
+        }
+    }
+    BOOST_TEST(step.result.has_value());
+    BOOST_TEST(sent == row.servers);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tier/caller_service.cpp
+++ b/tier/caller_service.cpp
@@ -6,6 +6,7 @@
 #include "platform/caller_messages.h"
 #include "policy/request_fingerprint.h"
 #include "tier/crash_controller.h"
+#include "tier/loop_clock.h"
 #include "tier/tier_blackboard.h"
 #include "tier/tier_metrics.h"
 #include "tier/tier_settings.h"
@@ -18,8 +19,9 @@
 constexpr duration BUSY_RETRY_AFTER = std::chrono::milliseconds(100);
 /** The final answer is sent this long before the deadline or route timeout, so that it reaches the caller in time. */
 constexpr duration ANSWER_MARGIN = std::chrono::milliseconds(10);
-/** Retry-After for a quarantined request. The quarantine itself lasts for hours; this only keeps the caller from retrying at once. */
-constexpr duration CRASHING_RETRY_AFTER = std::chrono::seconds(60);
+/** Bounds of Retry-After for a quarantined request, whose next trial may be hours away or about to begin. */
+constexpr duration MIN_QUARANTINE_RETRY_AFTER = std::chrono::seconds(1);
+constexpr duration MAX_QUARANTINE_RETRY_AFTER = std::chrono::seconds(60);
 
 /** Requests from the same client address with the same method, host, target and body share a fingerprint: they have the same effect on a backend server. */
 request_fingerprint fingerprintOf(const http_exchange &exchange, const caller_request &request)
@@ -46,29 +48,76 @@
         refuse(*exchange, 400, request_id(), request.reason().message, duration::zero());
         return;
     }
+    serve(exchange, *request, request_execution::run_mode::normal);
+}
+
+bool caller_service::serve(const std::shared_ptr<http_exchange> &exchange, const caller_request &request, request_execution::run_mode mode)
+{
     const std::shared_ptr<const route_matcher> routes = m_dependencies.board.routes;
     if (!m_dependencies.board.knowsTargets()) {
-        refuse(*exchange, 503, request->id, routes ? "targets_unknown" : "configuration_unknown", BUSY_RETRY_AFTER);
-        return;
+        refuse(*exchange, 503, request.id, routes ? "targets_unknown" : "configuration_unknown", BUSY_RETRY_AFTER);
+        return false;
     }
-    const request_route *route = routes->find(request->host, request->target);
+    const request_route *route = routes->find(request.host, request.target);
     if (!route) {
-        refuse(*exchange, 404, request->id, "no_route", duration::zero());
-        return;
+        refuse(*exchange, 404, request.id, "no_route", duration::zero());
+        return false;
     }
     if (m_running.size() >= m_maxRequests) {
-        refuse(*exchange, 503, request->id, "too_many_requests", BUSY_RETRY_AFTER);
-        return;
+        refuse(*exchange, 503, request.id, "too_many_requests", BUSY_RETRY_AFTER);
+        return false;
     }
-    const request_fingerprint fingerprint = fingerprintOf(*exchange, *request);
-    if (m_dependencies.crashes.refuses(fingerprint)) {
-        refuse(*exchange, 503, request->id, "crashes_backend_servers", CRASHING_RETRY_AFTER);
-        return;
+    const request_fingerprint fingerprint = fingerprintOf(*exchange, request);
+    if (mode == request_execution::run_mode::normal && m_dependencies.crashes.refuses(fingerprint)) {
+        askForTrial(exchange, request, fingerprint, *route);
+        return false;
+    }
+    const request_times times = timesOf(*exchange, request, *route);
+    if (mode == request_execution::run_mode::trial && times.end <= now()) {
+        refuse(*exchange, 503, request.id, "no_server_in_time", MIN_QUARANTINE_RETRY_AFTER);
+        return false;
     }
-    const request_times times = timesOf(*exchange, *request, *route);
-    const auto runner = std::make_shared<request_runner>(m_dependencies, exchange, *request, fingerprint, routes, *route, servicesOf(*route), times);
+    const auto runner = std::make_shared<request_runner>(m_dependencies, exchange, request, fingerprint, routes, *route, servicesOf(*route), times, mode);
     m_running.insert(runner);
     runner->start([this, weak = std::weak_ptr<request_runner>(runner)] { m_running.erase(weak.lock()); });
+    return true;
+}
+
+void caller_service::askForTrial(const std::shared_ptr<http_exchange> &exchange,
+                                 const caller_request &request,
+                                 request_fingerprint fingerprint,
+                                 const request_route &route)
+{
+    const std::vector<service_id> services = servicesOf(route);
+    const auto reachable = std::count_if(
+        services.begin(), services.end(), [this](const service_id &service) { return m_dependencies.board.servers.hasReachableServer(service, now()); });
+    const bool enoughReachable = reachable > 0 && static_cast<double>(reachable) >= route.minCoverage * static_cast<double>(services.size());
+    if (m_dependencies.crashes.trialWait(fingerprint) > duration::zero() || !enoughReachable) {
+        refuseQuarantined(*exchange, request.id, fingerprint);
+        return;
+    }
+    m_waitingForTrial.insert(exchange);
+    m_dependencies.crashes.askForTrial(fingerprint, [this, exchange, request, fingerprint](bool granted) {
+        m_waitingForTrial.erase(exchange);
+        if (granted) {
+            serveTrial(exchange, request, fingerprint);
+        } else {
+            refuseQuarantined(*exchange, request.id, fingerprint);
+        }
+    });
+}
+
+void caller_service::serveTrial(const std::shared_ptr<http_exchange> &exchange, const caller_request &request, request_fingerprint fingerprint)
+{
+    if (exchange->finished() || !serve(exchange, request, request_execution::run_mode::trial)) {
+        m_dependencies.crashes.endTrial(fingerprint, request.id, {});
+    }
+}
+
+void caller_service::refuseQuarantined(http_exchange &exchange, const request_id &id, request_fingerprint fingerprint)
+{
+    const duration wait = m_dependencies.crashes.trialWait(fingerprint);
+    refuse(exchange, 503, id, "crashes_backend_servers", std::clamp(wait, MIN_QUARANTINE_RETRY_AFTER, MAX_QUARANTINE_RETRY_AFTER));
 }
 
 void caller_service::endAll()
@@ -77,6 +126,9 @@
     for (const auto &runner : running) {
         runner->endNow();
     }
+    for (const auto &exchange : m_waitingForTrial) {
+        exchange->respond(nodeAnswer(503, readCallerRequest(exchange->request())->id, "node_stopping", duration::zero()));
+    }
 }
 
 void caller_service::refuse(http_exchange &exchange, unsigned status, const request_id &id, const std::string &reason, duration retryAfter)
--- a/tier/caller_service.h
+++ b/tier/caller_service.h
@@ -25,6 +25,13 @@
     std::size_t running() const { return m_running.size(); }
 
 private:
+    /** Runs the request, or refuses it and returns false. A trial of a quarantined request must have been granted before. */
+    bool serve(const std::shared_ptr<http_exchange> &exchange, const caller_request &request, request_execution::run_mode mode);
+    /** Asks for a trial of a quarantined request; refuses the request if that isn't possible now. */
+    void
+    askForTrial(const std::shared_ptr<http_exchange> &exchange, const caller_request &request, request_fingerprint fingerprint, const request_route &route);
+    void serveTrial(const std::shared_ptr<http_exchange> &exchange, const caller_request &request, request_fingerprint fingerprint);
+    void refuseQuarantined(http_exchange &exchange, const request_id &id, request_fingerprint fingerprint);
     void refuse(http_exchange &exchange, unsigned status, const request_id &id, const std::string &reason, duration retryAfter);
     request_times timesOf(const http_exchange &exchange, const caller_request &request, const request_route &route);
     std::vector<service_id> servicesOf(const request_route &route);
@@ -34,6 +41,7 @@
     std::size_t m_maxRequests;
     std::mt19937_64 m_random;
     std::set<std::shared_ptr<request_runner>> m_running;
+    std::set<std::shared_ptr<http_exchange>> m_waitingForTrial;
 };
 
 } // namespace snipefall
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -9,7 +9,6 @@
 #include "platform/sub_answer_reader.h"
 #include "policy/record_merge.h"
 #include "policy/sub_request_sample.h"
-#include "tier/crash_controller.h"
 #include "tier/loop_clock.h"
 #include "tier/move_driver.h"
 #include "tier/server_announcements.h"
@@ -44,7 +43,8 @@
                                std::shared_ptr<const route_matcher> routes,
                                const request_route &route,
                                std::vector<service_id> services,
-                               const request_times &times)
+                               const request_times &times,
+                               request_execution::run_mode mode)
     : m_dependencies(dependencies)
     , m_exchange(std::move(exchange))
     , m_request(std::move(request))
@@ -52,6 +52,7 @@
     , m_routes(std::move(routes))
     , m_route(route)
     , m_times(times)
+    , m_mode(mode)
     , m_writer(m_exchange->request())
     , m_partCount(services.size())
     , m_execution(route,
@@ -61,7 +62,8 @@
                   dependencies.board.budget,
                   dependencies.board.returns,
                   dependencies.board.latencies,
-                  dependencies.board.admission)
+                  dependencies.board.admission,
+                  mode)
     , m_timer(dependencies.loop)
 {
 }
@@ -105,7 +107,8 @@
     client_call call;
     call.address = planned.server.address;
     call.bytes = m_writer.write(planned.server.id, m_times.deadline - at);
-    call.newConnection = !m_route.idempotent;
+    // A server may close a kept connection before it reads a request; in a trial, a lost connection has to be evidence.
+    call.newConnection = !m_route.idempotent || m_mode == request_execution::run_mode::trial;
     call.deadline = m_times.deadline;
     // A late answer to an earlier request is not accepted, but what the server states in it holds all the same.
     call.acceptsResponse = [&board = m_dependencies.board, server = planned.server.id, id = m_request.id, at](const http_response_message &answer) {
@@ -113,6 +116,10 @@
         noteServerAnnouncement(board, server, answer, accepted ? at : time_point());
         return accepted;
     };
+    if (m_mode == request_execution::run_mode::trial) {
+        const backend_entry *sibling = m_dependencies.board.servers.sibling(planned.server.id, at);
+        m_trialSibling = sibling ? std::optional(lostServer(sibling->id, sibling->address)) : std::nullopt;
+    }
     const std::size_t id = planned.id;
     subRequest.call =
         m_dependencies.client.start(std::move(call), [self = shared_from_this(), id](client_result result) { self->subRequestEnded(id, std::move(result)); });
@@ -246,6 +253,10 @@
 
 void request_runner::reportToCrashController(const execution_result &result)
 {
+    if (m_mode == request_execution::run_mode::trial) {
+        endTrial();
+        return;
+    }
     if (result.outcome == execution_result::kind::answered) {
         m_dependencies.crashes.answered(m_fingerprint);
         return;
@@ -256,15 +267,36 @@
             return;
         }
         if (subRequest.outcome == attempt_outcome::lost) {
-            const backend_entry *entry = m_dependencies.board.servers.find(subRequest.server.id);
-            const auto rules = m_routes->configuration().services.find(entry ? entry->service : service_id());
-            const bool hasHealthPath = rules != m_routes->configuration().services.end() && !rules->second.healthPath.empty();
-            lost.push_back({subRequest.server.id, subRequest.server.address, hasHealthPath ? rules->second.healthPath : DEFAULT_HEALTH_PATH});
+            lost.push_back(lostServer(subRequest.server.id, subRequest.server.address));
         }
     }
     m_dependencies.crashes.unanswered(m_fingerprint, m_request.id, lost);
 }
 
+crash_controller::lost_server request_runner::lostServer(const backend_server_id &id, const std::string &address) const
+{
+    const backend_entry *entry = m_dependencies.board.servers.find(id);
+    const auto rules = m_routes->configuration().services.find(entry ? entry->service : service_id());
+    const bool hasHealthPath = rules != m_routes->configuration().services.end() && !rules->second.healthPath.empty();
+    return {id, address, hasHealthPath ? rules->second.healthPath : DEFAULT_HEALTH_PATH};
+}
+
+void request_runner::endTrial()
+{
+    crash_controller::trial_end end;
+    for (const sub_request &subRequest : m_subRequests) {
+        if (subRequest.outcome == attempt_outcome::answered || subRequest.outcome == attempt_outcome::server_error) {
+            end.observed.answered = true;
+        } else if (!subRequest.outcome || mayHaveRun(*subRequest.outcome)) {
+            end.observed.mayHaveRun = true;
+            end.observed.connectionLost = end.observed.connectionLost || subRequest.outcome == attempt_outcome::lost;
+            end.server = lostServer(subRequest.server.id, subRequest.server.address);
+        }
+    }
+    end.sibling = m_trialSibling;
+    m_dependencies.crashes.endTrial(m_fingerprint, m_request.id, end);
+}
+
 void request_runner::callerLeft()
 {
     if (m_finished) {
@@ -275,6 +307,9 @@
     if (m_route.idempotent) {
         limitSubRequests(DISCONNECT_CANCEL_DELAY);
     }
+    if (m_mode == request_execution::run_mode::trial) {
+        endTrial();
+    }
     logRequestEnded("caller_left", "", m_partCount);
     m_exchange.reset();
     m_onFinished();
--- a/tier/request_runner.h
+++ b/tier/request_runner.h
@@ -15,11 +15,11 @@
 #include "policy/request_execution.h"
 #include "policy/request_fingerprint.h"
 #include "policy/route_matcher.h"
+#include "tier/crash_controller.h"
 
 namespace snipefall {
 
 struct tier_blackboard;
-class crash_controller;
 class move_driver;
 class tier_metrics;
 
@@ -46,7 +46,8 @@
                    std::shared_ptr<const route_matcher> routes,
                    const request_route &route,
                    std::vector<service_id> services,
-                   const request_times &times);
+                   const request_times &times,
+                   request_execution::run_mode mode);
 
     /** Sends the first sub-requests; @p onFinished is called once, when the request has ended. */
     void start(std::function<void()> onFinished);
@@ -74,6 +75,8 @@
     http_response_message answerOf(const execution_result &result) const;
     void limitSubRequests(duration linger);
     void reportToCrashController(const execution_result &result);
+    void endTrial();
+    crash_controller::lost_server lostServer(const backend_server_id &id, const std::string &address) const;
     void callerLeft();
     void logRequestEnded(std::string_view outcome, const std::string &reason, std::size_t missing);
 
@@ -84,6 +87,8 @@
     std::shared_ptr<const route_matcher> m_routes;
     const request_route &m_route;
     request_times m_times;
+    request_execution::run_mode m_mode;
+    std::optional<crash_controller::lost_server> m_trialSibling; ///< See crash_trial_observation::siblingGone.
     sub_request_writer m_writer;
     std::size_t m_partCount;
     request_execution m_execution;
