Serve a request that was cleared while it waited for its trial

A request that asked the store for a trial was refused if another node held the trial, also when that node's success had cleared it in the meantime. Found by reading; crash_trial_tests passes before and after.

--- a/tier/caller_service.cpp
+++ b/tier/caller_service.cpp
@@ -101,6 +101,9 @@
         m_waitingForTrial.erase(exchange);
         if (granted) {
             serveTrial(exchange, request, fingerprint);
+        } else if (!m_dependencies.crashes.refuses(fingerprint)) {
+            // A trial of another node has cleared the request meanwhile.
+            serve(exchange, request, request_execution::run_mode::normal);
         } else {
             refuseQuarantined(*exchange, request.id, fingerprint);
         }
--- a/tier/caller_service.h
+++ b/tier/caller_service.h
@@ -25,7 +25,11 @@
     std::size_t running() const { return m_running.size(); }
 
 private:
-    /** Runs the request, or refuses it and returns false. A trial of a quarantined request must have been granted before. */
+    /**
+     * Runs the request and returns true; otherwise refuses it, or asks for a trial if it is quarantined, and returns false.
+     *
+     * With run_mode::trial, the trial must have been granted.
+     */
     bool serve(const std::shared_ptr<http_exchange> &exchange, const caller_request &request, request_execution::run_mode mode);
     /** Asks for a trial of a quarantined request; refuses the request if that isn't possible now. */
     void
--- a/tier/crash_controller.h
+++ b/tier/crash_controller.h
@@ -82,7 +82,7 @@
     tier_blackboard &m_board;
     request_quarantine m_quarantine;
     crash_trial_ledger m_trials;
-    std::set<request_fingerprint> m_askedTrials; ///< Requests whose trial the store hasn't decided on yet, or is running on this node.
+    std::set<request_fingerprint> m_askedTrials; ///< Requests whose trial was asked for, or runs on this node.
     std::function<void(fact)> m_publish;
     std::size_t m_runningChecks = 0; ///< Health checks without a result so far.
 };
