Log where news of the store comes from and how old a node's knowledge is

A configuration that takes effect late can come from an old copy, from a watch that isn't told of a change, or from a watcher that waits; the logs looked the same for all three. store.update names the source and the time since the last list of the newest state, and /metrics has that time for each kind.

--- a/tier/object_watcher.cpp
+++ b/tier/object_watcher.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "core/logger.h"
+#include "tier/loop_clock.h"
 #include "tier/store_retry_coordinator.h"
 
 namespace snipefall {
@@ -52,7 +53,8 @@
 {
     const std::uint64_t callNumber = ++m_callNumber;
     m_watching = false;
-    m_store.list(m_kind, freshness, listTimeout(), [this, callNumber](const outcome<object_listing> &listing) {
+    const time_point begun = now();
+    m_store.list(m_kind, freshness, listTimeout(), [this, callNumber, freshness, begun](const outcome<object_listing> &listing) {
         if (callNumber != m_callNumber) {
             return;
         }
@@ -64,6 +66,10 @@
         noteSuccess();
         m_listed = true;
         m_revision = listing->storeRevision;
+        logUpdate(freshness == read_freshness::newest ? "list" : "stale_list", listing->objects.size());
+        if (freshness == read_freshness::newest) {
+            m_listedAt = begun;
+        }
         for (const stored_object &object : listing->objects) {
             m_newestRevision = std::max(m_newestRevision, object.revision);
         }
@@ -114,6 +120,7 @@
             m_newestRevision = std::max(m_newestRevision, change.object.revision);
         }
         if (!changes->changes.empty()) {
+            logUpdate("watch", changes->changes.size());
             m_callbacks.onChanges(*changes);
             scheduleAfter(COALESCE_TIME, [this] { watch(); });
             return;
@@ -122,6 +129,17 @@
     });
 }
 
+void object_watcher::logUpdate(std::string_view source, std::size_t objects) const
+{
+    const std::string sinceList = m_listedAt ? std::to_string((now() - *m_listedAt).count() / 1000) : "never";
+    logInfo("store.update",
+            {{"kind", m_kind},
+             {"source", std::string(source)},
+             {"objects", std::to_string(objects)},
+             {"revision", std::to_string(m_revision.value())},
+             {"since_list_ms", sinceList}});
+}
+
 void object_watcher::noteFailure(const failure &reason)
 {
     ++m_failures;
--- a/tier/object_watcher.h
+++ b/tier/object_watcher.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include <boost/asio/steady_timer.hpp>
@@ -33,6 +34,9 @@
     void restartWatch();
     /** The highest revision of all objects that were listed or changed so far. */
     object_version newestRevision() const { return m_newestRevision; }
+    const std::string &kind() const { return m_kind; }
+    /** The start of the latest successful list of the newest state; nothing before the first one. Watches may be answered from an older copy and don't count. */
+    std::optional<time_point> listedAt() const { return m_listedAt; }
 
 private:
     void list(read_freshness freshness);
@@ -40,6 +44,8 @@
     /** Lists after @p pause, or after MAX_WAIT_FOR_OTHER_WATCHER if another watcher already retries on behalf of all. */
     void scheduleList(duration pause);
     duration listTimeout() const;
+    /** Logs that @p objects objects were listed or changed, and how old the node's knowledge of them was. */
+    void logUpdate(std::string_view source, std::size_t objects) const;
     void noteFailure(const failure &reason);
     void noteSuccess();
     void scheduleAfter(duration pause, std::function<void()> action);
@@ -51,6 +57,7 @@
     boost::asio::steady_timer m_timer;
     object_version m_revision; ///< Store revision from which the next watch continues.
     object_version m_newestRevision;
+    std::optional<time_point> m_listedAt;
     bool m_watching = false; ///< A watch is pending.
     bool m_listed = false; ///< Some list has succeeded.
     unsigned m_failures = 0; ///< Failed calls in a row.
--- a/tier/store_sync_controller.cpp
+++ b/tier/store_sync_controller.cpp
@@ -128,6 +128,15 @@
     }
 }
 
+std::map<std::string, duration> store_sync_controller::timeSinceLists(time_point start)
+{
+    std::map<std::string, duration> result;
+    for (const object_watcher *watcher : watchers()) {
+        result[watcher->kind()] = now() - watcher->listedAt().value_or(start);
+    }
+    return result;
+}
+
 object_version store_sync_controller::newestRevision() const
 {
     return std::max({m_configuration.newestRevision(), m_backends.newestRevision(), m_domains.newestRevision(), m_moves.newestRevision()});
--- a/tier/store_sync_controller.h
+++ b/tier/store_sync_controller.h
@@ -33,6 +33,8 @@
     void setBounds(const boot_settings &settings);
     /** Reads all lists from the store again, because the known state may be outdated without a sign of it, for example after a suspension. */
     void refresh();
+    /** For each kind of objects, the time since the start of the latest list of the newest state, or since @p start if there was none. */
+    std::map<std::string, duration> timeSinceLists(time_point start);
     /** The highest store revision of all objects that this node has seen. */
     object_version newestRevision() const;
     /** Notes that a peer has seen the store revision @p newest. */
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -175,6 +175,9 @@
     m_metrics.setGauge("refused_crashing_requests", static_cast<double>(m_crashController.refusedRequests()));
     m_metrics.setGauge("running_moves", static_cast<double>(m_moveDriver.running()));
     m_metrics.setGauge("store_calls", static_cast<double>(m_store.calls()));
+    for (const auto &[kind, age] : m_storeSync.timeSinceLists(m_startedAt)) {
+        m_metrics.setGauge("store_list_age_seconds_" + kind, std::chrono::duration<double>(age).count());
+    }
     m_metrics.setGauge("backend_connections_opened", static_cast<double>(m_client.connectionsOpened()));
     http_response_message answer = nodeAnswer(200, request_id(), "", duration::zero());
     answer.body() = m_metrics.text();
