--- a/tests/stand_ins/site_store.cpp
+++ b/tests/stand_ins/site_store.cpp
@@ -11,6 +11,7 @@
 constexpr char OBJECTS_PREFIX[] = "/snipefall/objects/";
 /** Objects in a page of a list; small, so that lists of a few objects already take several pages. */
 constexpr std::size_t PAGE_SIZE = 20;
+constexpr std::uint64_t FIRST_REVISION = 100;
 
 http_response_message makeResponse(unsigned status, const json &body)
 {
@@ -130,6 +131,13 @@
     m_watches.clear();
 }
 
+void site_store::forgetWatches()
+{
+    for (watch &waiting : m_watches) {
+        waiting.forgotten = true;
+    }
+}
+
 void site_store::handle(const std::shared_ptr<http_exchange> &exchange)
 {
     ++m_calls;
@@ -175,32 +183,60 @@
         exchange->respond(makeResponse(object.is_null() ? 404 : 200, object));
         return;
     }
+    const bool staleAllowed = parameters["stale_ok"] == "1";
     if (!parameters.contains("watch")) {
-        list(kind, parameters["after"], *exchange);
+        list(kind, parameters["after"], staleAllowed, *exchange);
         return;
     }
-    const watch waiting{
-        kind, std::stoull(parameters["watch"]), std::chrono::steady_clock::now() + std::chrono::milliseconds(std::stoull(parameters["wait_ms"])), exchange};
+    const auto deadline = clock::now() + std::chrono::milliseconds(std::stoull(parameters["wait_ms"]));
+    const watch waiting{kind, std::stoull(parameters["watch"]), deadline, staleAllowed, exchange};
     if (!answerWatch(waiting)) {
         m_watches.push_back(waiting);
     }
 }
 
-void site_store::list(const std::string &kind, const std::string &after, http_exchange &exchange) const
+void site_store::list(const std::string &kind, const std::string &after, bool staleAllowed, http_exchange &exchange) const
 {
     json items = json::array();
     bool more = false;
-    const auto objects = m_objects.find(kind);
-    if (objects != m_objects.end()) {
-        for (auto object = objects->second.upper_bound(after); object != objects->second.end(); ++object) {
-            if (items.size() >= PAGE_SIZE) {
-                more = true;
-                break;
-            }
-            items.push_back(object->second);
+    const std::map<std::string, json> objects = visibleObjects(kind, staleAllowed);
+    for (auto object = objects.upper_bound(after); object != objects.end(); ++object) {
+        if (items.size() >= PAGE_SIZE) {
+            more = true;
+            break;
         }
+        items.push_back(object->second);
     }
-    exchange.respond(makeResponse(200, {{"items", items}, {"more", more}, {"store_revision", m_revision}}));
+    exchange.respond(makeResponse(200, {{"items", items}, {"more", more}, {"store_revision", visibleRevision(staleAllowed)}}));
+}
+
+bool site_store::isVisible(const change &item, bool staleAllowed) const
+{
+    return !staleAllowed || item.at <= clock::now() - m_copyAge;
+}
+
+std::map<std::string, json> site_store::visibleObjects(const std::string &kind, bool staleAllowed) const
+{
+    std::map<std::string, json> objects;
+    for (const change &item : m_log) {
+        if (item.kind != kind || !isVisible(item, staleAllowed)) {
+            continue;
+        }
+        const json &object = item.event["object"];
+        const std::string name = object["meta"]["name"].get<std::string>();
+        if (item.event["deleted"].get<bool>()) {
+            objects.erase(name);
+        } else {
+            objects[name] = object;
+        }
+    }
+    return objects;
+}
+
+std::uint64_t site_store::visibleRevision(bool staleAllowed) const
+{
+    const auto newest = std::find_if(m_log.rbegin(), m_log.rend(), [&](const change &item) { return isVisible(item, staleAllowed); });
+    return newest == m_log.rend() ? FIRST_REVISION : newest->revision;
 }
 
 void site_store::write(const std::string &kind, const std::string &name, http_exchange &exchange)
@@ -245,26 +281,31 @@
 
 void site_store::record(const std::string &kind, const json &object, bool deleted)
 {
-    m_history.push_back({m_revision, kind, {{"deleted", deleted}, {"object", object}}});
+    const change recorded{m_revision, kind, {{"deleted", deleted}, {"object", object}}, clock::now()};
+    m_history.push_back(recorded);
+    m_log.push_back(recorded);
     answerWatches();
 }
 
 bool site_store::answerWatch(const watch &waiting)
 {
+    if (waiting.forgotten) {
+        return false;
+    }
     if (waiting.revision < m_compactedRevision) {
         waiting.exchange->respond(makeResponse(410, nullptr));
         return true;
     }
     json events = json::array();
     for (const change &item : m_history) {
-        if (item.kind == waiting.kind && item.revision > waiting.revision) {
+        if (item.kind == waiting.kind && item.revision > waiting.revision && isVisible(item, waiting.staleAllowed)) {
             events.push_back(item.event);
         }
     }
     if (events.empty()) {
         return false;
     }
-    waiting.exchange->respond(makeResponse(200, {{"events", events}, {"store_revision", m_revision}}));
+    waiting.exchange->respond(makeResponse(200, {{"events", events}, {"store_revision", visibleRevision(waiting.staleAllowed)}}));
     return true;
 }
 
@@ -280,9 +321,11 @@
         if (now < waiting.deadline) {
             return false;
         }
-        waiting.exchange->respond(makeResponse(200, {{"events", json::array()}, {"store_revision", m_revision}}));
+        const std::uint64_t revision = std::max(waiting.forgotten ? waiting.revision : visibleRevision(waiting.staleAllowed), waiting.revision);
+        waiting.exchange->respond(makeResponse(200, {{"events", json::array()}, {"store_revision", revision}}));
         return true;
     });
+    answerWatches();
     m_timer.expires_after(std::chrono::milliseconds(50));
     m_timer.async_wait([this](const boost::system::error_code &cancelled) {
         if (!cancelled) {
--- a/tests/stand_ins/site_store.h
+++ b/tests/stand_ins/site_store.h
@@ -38,26 +38,39 @@
     void setDelay(std::chrono::milliseconds delay) { m_delay = delay; }
     /** Discards the change history and answers all watches with 410; later watches from an older revision get 410 too. */
     void discardHistory();
+    /** Answers calls that allow stale data from a copy that is this much older than the store. */
+    void setCopyAge(std::chrono::milliseconds age) { m_copyAge = age; }
+    /** Leaves the pending watches open without telling them of any further change. */
+    void forgetWatches();
     std::uint64_t calls() const { return m_calls; }
 
 private:
+    using clock = std::chrono::steady_clock;
+
     struct change
     {
         std::uint64_t revision;
         std::string kind;
         json event;
+        clock::time_point at;
     };
     struct watch
     {
         std::string kind;
         std::uint64_t revision;
-        std::chrono::steady_clock::time_point deadline;
+        clock::time_point deadline;
+        bool staleAllowed;
         std::shared_ptr<http_exchange> exchange;
+        bool forgotten = false;
     };
 
     void handle(const std::shared_ptr<http_exchange> &exchange);
     void serve(const std::shared_ptr<http_exchange> &exchange);
-    void list(const std::string &kind, const std::string &after, http_exchange &exchange) const;
+    void list(const std::string &kind, const std::string &after, bool staleAllowed, http_exchange &exchange) const;
+    /** The objects of a kind, and the store revision, as a call sees them. */
+    std::map<std::string, json> visibleObjects(const std::string &kind, bool staleAllowed) const;
+    std::uint64_t visibleRevision(bool staleAllowed) const;
+    bool isVisible(const change &item, bool staleAllowed) const;
     void write(const std::string &kind, const std::string &name, http_exchange &exchange);
     void putStatus(const std::string &kind, const std::string &name, json status);
     void record(const std::string &kind, const json &object, bool deleted);
@@ -70,12 +83,14 @@
     boost::asio::steady_timer m_timer;
     std::map<std::string, std::map<std::string, json>> m_objects;
     std::list<change> m_history;
+    std::list<change> m_log; ///< All changes, which the store's copy applies late.
     std::list<watch> m_watches;
     std::list<std::shared_ptr<http_exchange>> m_unanswered;
-    std::uint64_t m_revision = 100;
+    std::uint64_t m_revision = 100; ///< Of the last change.
     std::uint64_t m_compactedRevision = 0; ///< Changes up to this revision were discarded; watches from an older one get 410.
     std::uint64_t m_calls = 0;
     std::chrono::milliseconds m_delay{0};
+    std::chrono::milliseconds m_copyAge{0};
     std::string m_refusedKind;
     condition m_condition = condition::fault_free;
 };
