Let watchers of the store take turns while calls fail

While calls failed, one of four watchers retried and the others waited up to 5 s. The role now passes to the next waiting watcher after each failed call; the number of calls stays the same. failingKindDoesNotHoldBackOtherKinds guards it.

--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -379,6 +379,44 @@
     BOOST_TEST(retryCoordinator.waiting() == 0U);
 }
 
+// Guards against watchers that wait for one whose calls go on failing, although the store answers their own.
+BOOST_AUTO_TEST_CASE(failingKindDoesNotHoldBackOtherKinds)
+{
+    boost::asio::io_context loop;
+    site_store store(loop);
+    store_client client(loop, store.address());
+    store_retry_coordinator retryCoordinator;
+    std::map<std::string, int> listings;
+    std::map<std::string, int> losses;
+    std::vector<std::unique_ptr<object_watcher>> watchers;
+    for (const char *kind : {"a", "b", "c", "d"}) {
+        store.put(kind, "object", {{"value", 1}});
+        watchers.push_back(std::make_unique<object_watcher>(loop,
+                                                            client,
+                                                            retryCoordinator,
+                                                            kind,
+                                                            object_watcher::handlers{[&listings, kind](const object_listing &) { ++listings[kind]; },
+                                                                                     [](const object_changes &) {},
+                                                                                     [&losses, kind](bool reachable) { losses[kind] += reachable ? 0 : 1; }}));
+        watchers.back()->start(read_freshness::newest);
+    }
+    const auto runUntil = [&](const std::function<bool()> &condition) {
+        while (!condition()) {
+            loop.run_one();
+        }
+    };
+    runUntil([&] { return listings.size() == 4; });
+    store.setCondition(site_store::condition::refusing);
+    store.discardHistory();
+    runUntil([&] { return losses.size() == 4; });
+    store.setCondition(site_store::condition::fault_free);
+    store.refuseKind("a");
+    const std::uint64_t before = client.calls();
+    runUntil([&] { return listings["b"] >= 2 && listings["c"] >= 2 && listings["d"] >= 2; });
+    // Each watcher has had one turn at most.
+    BOOST_TEST(client.calls() <= before + 8);
+}
+
 // Guards against a node that starts in a store outage and serves nobody long after it, because it waits for a call that the store will never answer.
 BOOST_AUTO_TEST_CASE(firstListIsRepeatedSoonWithoutAnAnswer)
 {
--- a/tier/object_watcher.cpp
+++ b/tier/object_watcher.cpp
@@ -85,7 +85,12 @@
 
 void object_watcher::scheduleList(duration pause)
 {
-    scheduleAfter(m_retryCoordinator.mayRetry(*this) ? pause : MAX_WAIT_FOR_OTHER_WATCHER, [this] { list(read_freshness::newest); });
+    scheduleAfter(m_retryCoordinator.mayRetry(*this, pause) ? pause : MAX_WAIT_FOR_OTHER_WATCHER, [this] { list(read_freshness::newest); });
+}
+
+void object_watcher::takeOverRetry(duration pause)
+{
+    scheduleAfter(pause, [this] { list(read_freshness::newest); });
 }
 
 void object_watcher::restartWatch()
--- a/tier/object_watcher.h
+++ b/tier/object_watcher.h
@@ -32,6 +32,8 @@
     void refresh();
     /** Starts the watch again from the last known revision, because the answer to the pending watch may have been lost. Does nothing while none is pending. */
     void restartWatch();
+    /** Lists after @p pause in place of another watcher that shares the retry coordinator. */
+    void takeOverRetry(duration pause);
     /** The highest revision of all objects that were listed or changed so far. */
     object_version newestRevision() const { return m_newestRevision; }
     const std::string &kind() const { return m_kind; }
--- a/tier/store_retry_coordinator.cpp
+++ b/tier/store_retry_coordinator.cpp
@@ -7,13 +7,21 @@
 
 namespace snipefall {
 
-bool store_retry_coordinator::mayRetry(object_watcher &watcher)
+bool store_retry_coordinator::mayRetry(object_watcher &watcher, duration pause)
 {
-    if (!m_retrying || m_retrying == &watcher) {
+    if (!m_retrying) {
         m_retrying = &watcher;
         std::erase(m_waiting, &watcher);
         return true;
     }
+    if (m_retrying == &watcher) {
+        if (m_waiting.empty()) {
+            return true;
+        }
+        m_retrying = m_waiting.front();
+        m_waiting.erase(m_waiting.begin());
+        m_retrying->takeOverRetry(pause);
+    }
     if (std::find(m_waiting.begin(), m_waiting.end(), &watcher) == m_waiting.end()) {
         m_waiting.push_back(&watcher);
     }
