Read the newest list of nodes at a restart

A node that starts again divides the limits of all nodes by the number of registered nodes, and read it from a copy that may be seconds old. At the first start of the system all nodes register at once, so that a copy is as good there.

--- a/tier/node_registration.h
+++ b/tier/node_registration.h
@@ -19,7 +19,8 @@
     /** @p onListed is called with the peer addresses of all registered nodes, this one included if it is listed. */
     node_registration(boost::asio::io_context &loop, store_client &store, member self, std::function<void(std::vector<std::string>)> onListed);
 
-    void start() { list(read_freshness::may_be_stale); }
+    /** Registers the node. The known nodes may be incomplete if @p freshness allows an old copy to answer. */
+    void start(read_freshness freshness) { list(freshness); }
     /** Removes the entry and stops retrying; called on a graceful shutdown. */
     void remove();
 
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -231,7 +231,7 @@
         logError("peers.not_joined", {{"reason", *problem}});
         return;
     }
-    m_nodeRegistration.start();
+    m_nodeRegistration.start(m_boot.firstStart ? read_freshness::may_be_stale : read_freshness::newest);
     logInfo("node.ready", {{"config", std::to_string(m_board.routes->configuration().version.value())}, {"servers", std::to_string(m_board.servers.size())}});
 }
 
