Bound the age of what a node knows of the platform's store

What callers saw: requests run by the service of an older configuration, later than config_apply_ms after the new one was acknowledged.

Cause: a node trusted its watches. They are sent with stale_ok, so that the store may answer them from a copy that is seconds old, and an open watch that is told of nothing was trusted for 10 s. The newest revision of four kinds, which nodes compared, hid a missed change of one kind.

Change: watches stay cheap, but prove nothing. One node lists the newest state of all kinds in each quarter of the tightest time limit (one call while nothing changes) and tells the others the revision and a digest of each kind, with the age of the read. A node that is behind asks the store; one that hears of no read lists by itself before two thirds to three quarters of the limit have passed. Late reports of an old copy no longer undo newer lists. A list without a revision doesn't replace known objects, and a store that forgets its history again and again is asked with growing pauses. Watches are shorter than the store's history.

lostWatchAnswerIsDetectedThroughPeers expected the log line of the mechanism that this replaces; the node's own list may now be first. It accepts either, and still requires the change to be in force.

--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -300,9 +300,9 @@
     BOOST_TEST(site_emulator::waitFor([&] { return running.site.logOf("node-0").find("outcome=caller_left") != std::string::npos; }));
 }
 
-// Guards against a node that keeps an old configuration because the answer to its watch was lost on a connection that stayed open: the revision that a peer
-// reports must make it watch again.
-BOOST_AUTO_TEST_CASE(lostWatchAnswerIsDetectedThroughPeers)
+// Guards against a node that keeps an old configuration because the answer to its watch was lost on a connection that stayed open: a list of its own or the
+// read that a peer reports must show it the change.
+BOOST_AUTO_TEST_CASE(lostWatchAnswerIsDetected)
 {
     site_emulator::options options;
     options.proxies = true;
@@ -312,7 +312,10 @@
     running.site.configure([](json &configuration) { configuration["routes"][0]["path_prefix"] = "/changed/"; });
     BOOST_TEST(site_emulator::waitFor([&] { return running.site.query("node-1").status == 404; }));
     running.site.onLoop([&] { running.site.storeProxy("node-0").setFault(loopback_proxy::fault::none); });
-    BOOST_TEST(site_emulator::waitFor([&] { return running.site.logOf("node-0").find("event=store.peer_ahead") != std::string::npos; }));
+    BOOST_TEST(site_emulator::waitFor([&] {
+        const std::string log = running.site.logOf("node-0");
+        return log.find("source=verification") != std::string::npos || log.find("event=store.peer_ahead") != std::string::npos;
+    }));
     BOOST_TEST(site_emulator::waitFor([&] { return running.site.query("node-0").status == 404; }));
 }
 
--- a/tier/object_watcher.cpp
+++ b/tier/object_watcher.cpp
@@ -11,10 +11,14 @@
 namespace {
 
 /**
- * How long the store may hold a watch open. Each call is charged once however long it waits, so this is long. Dead connections are detected by keep-alive
- * probes, and lost answers by the revisions that peers report; the end of the watch is the last resort.
+ * How long the store may hold a watch open, its upper limit. Each call is charged once however long it waits. What a watch doesn't report is found by lists of
+ * the newest state, see freshness_monitor.
  */
-constexpr duration WATCH_TIME = std::chrono::seconds(10);
+constexpr duration MAX_WATCH_TIME = std::chrono::seconds(30);
+/** Share of the time for which the store keeps changes. A watch that lasts longer ends in an error, because its revision is forgotten by then. */
+constexpr double WATCH_SHARE_OF_HISTORY = 0.75;
+/** Time-out of a list beside a watch. It leaves time to list again on a new connection within the time limits for applying changes. */
+constexpr duration VERIFY_TIMEOUT = std::chrono::milliseconds(500);
 /**
  * Pause after changes, so that one call reads further changes made at the same time. It is short, so that a new configuration is not in force long before the
  * servers that it names are known.
@@ -31,6 +35,15 @@
 /** A watcher that lets another one retry tries by itself after this time, in case only the other's calls fail. */
 constexpr duration MAX_WAIT_FOR_OTHER_WATCHER = std::chrono::seconds(5);
 
+known_objects::revisions revisionsOf(const object_listing &listing)
+{
+    known_objects::revisions result;
+    for (const stored_object &object : listing.objects) {
+        result[object.name] = object.revision;
+    }
+    return result;
+}
+
 } // namespace
 
 object_watcher::object_watcher(
@@ -43,6 +56,11 @@
 {
 }
 
+void object_watcher::setHistoryTime(duration historyTime)
+{
+    m_watchTime = std::clamp<duration>(std::chrono::duration_cast<duration>(WATCH_SHARE_OF_HISTORY * historyTime), std::chrono::seconds(1), MAX_WATCH_TIME);
+}
+
 void object_watcher::refresh()
 {
     m_timer.cancel();
@@ -53,29 +71,75 @@
 {
     const std::uint64_t callNumber = ++m_callNumber;
     m_watching = false;
+    m_listing = true;
     const time_point begun = now();
     m_store.list(m_kind, freshness, listTimeout(), [this, callNumber, freshness, begun](const outcome<object_listing> &listing) {
         if (callNumber != m_callNumber) {
             return;
         }
-        if (!listing) {
-            noteFailure(listing.reason());
+        m_listing = false;
+        if (!listing || !isPlausible(*listing)) {
+            noteFailure(listing ? failure{error_code::invalid_argument, "the list has no revision"} : listing.reason());
             scheduleList(std::min(FIRST_RETRY_PAUSE * (1U << std::min(m_failures, 4U)) / 2, MAX_RETRY_PAUSE));
             return;
         }
         noteSuccess();
         m_listed = true;
-        m_revision = listing->storeRevision;
-        logUpdate(freshness == read_freshness::newest ? "list" : "stale_list", listing->objects.size());
-        if (freshness == read_freshness::newest) {
-            m_listedAt = begun;
+        const bool newest = freshness == read_freshness::newest;
+        acceptListing(*listing, revisionsOf(*listing), newest ? "list" : "stale_list");
+        if (newest) {
+            noteNewestRead(begun, listing->storeRevision);
         }
-        for (const stored_object &object : listing->objects) {
-            m_newestRevision = std::max(m_newestRevision, object.revision);
+    });
+}
+
+void object_watcher::acceptListing(const object_listing &listing, const known_objects::revisions &revisions, std::string_view source)
+{
+    m_revision = listing.storeRevision;
+    m_known.replaceAll(revisions, listing.storeRevision);
+    logUpdate(source, listing.objects.size());
+    m_callbacks.onListing(listing);
+    // A copy that doesn't have this revision yet could refuse each stale watch, and list and watch would alternate without a pause.
+    watch(m_historyLosses > 1 ? read_freshness::newest : read_freshness::may_be_stale);
+}
+
+bool object_watcher::verify()
+{
+    if (m_listing || m_verifying || !m_listed || m_failures > 0) {
+        return false;
+    }
+    m_verifying = true;
+    const time_point begun = now();
+    m_store.list(m_kind, read_freshness::newest, VERIFY_TIMEOUT, [this, begun](const outcome<object_listing> &listing) {
+        m_verifying = false;
+        // A list that has begun since reports the state of the store.
+        if (m_listing || m_failures > 0) {
+            return;
         }
-        m_callbacks.onListing(*listing);
-        watch();
+        if (!listing || !isPlausible(*listing)) {
+            logInfo("store.not_verified", {{"kind", m_kind}, {"reason", listing ? "the list has no revision" : listing.reason().message}});
+            if (++m_failedVerifications > 1) {
+                refresh();
+            }
+            return;
+        }
+        m_failedVerifications = 0;
+        const known_objects::revisions revisions = revisionsOf(*listing);
+        if (m_known.covers(revisions, listing->storeRevision)) {
+            m_known.noteCompleteTo(listing->storeRevision);
+            m_revision = std::max(m_revision, listing->storeRevision);
+        } else {
+            m_timer.cancel();
+            acceptListing(*listing, revisions, "verification");
+        }
+        noteNewestRead(begun, listing->storeRevision);
     });
+    return true;
+}
+
+bool object_watcher::isPlausible(const object_listing &listing) const
+{
+    return listing.storeRevision != object_version() || m_known.empty();
 }
 
 duration object_watcher::listTimeout() const
@@ -93,26 +157,33 @@
     scheduleAfter(pause, [this] { list(read_freshness::newest); });
 }
 
-void object_watcher::restartWatch()
+void object_watcher::watchNewest()
 {
     if (m_watching) {
-        watch();
+        watch(read_freshness::newest);
     }
 }
 
-void object_watcher::watch()
+void object_watcher::watch(read_freshness freshness)
 {
     const std::uint64_t callNumber = ++m_callNumber;
     m_watching = true;
-    m_store.watch(m_kind, m_revision, WATCH_TIME, [this, callNumber](const outcome<object_changes> &changes) {
+    m_listing = false;
+    m_store.watch(m_kind, m_revision, freshness, m_watchTime, [this, callNumber](const outcome<object_changes> &changes) {
         if (callNumber != m_callNumber) {
             return;
         }
         m_watching = false;
         if (!changes) {
             if (changes.reason().code == error_code::history_gone) {
+                ++m_historyLosses;
                 logInfo("store.history_gone", {{"kind", m_kind}, {"revision", std::to_string(m_revision.value())}});
-                list(read_freshness::newest);
+                if (m_historyLosses == 1) {
+                    list(read_freshness::newest);
+                } else {
+                    scheduleAfter(std::min(FIRST_RETRY_PAUSE * (1U << std::min(m_historyLosses, 5U)), MAX_RETRY_PAUSE),
+                                  [this] { list(read_freshness::newest); });
+                }
                 return;
             }
             noteFailure(changes.reason());
@@ -120,29 +191,53 @@
             return;
         }
         noteSuccess();
+        m_historyLosses = 0;
         m_revision = std::max(m_revision, changes->storeRevision);
-        for (const object_change &change : changes->changes) {
-            m_newestRevision = std::max(m_newestRevision, change.object.revision);
-        }
-        if (!changes->changes.empty()) {
-            logUpdate("watch", changes->changes.size());
-            m_callbacks.onChanges(*changes);
-            scheduleAfter(COALESCE_TIME, [this] { watch(); });
+        if (changes->changes.empty()) {
+            watch(read_freshness::may_be_stale);
             return;
         }
-        watch();
+        applyChanges(*changes);
+        scheduleAfter(COALESCE_TIME, [this] { watch(read_freshness::may_be_stale); });
     });
 }
 
+void object_watcher::applyChanges(object_changes changes)
+{
+    std::erase_if(changes.changes, [this](const object_change &change) {
+        const stored_object &object = change.object;
+        if (!m_known.isNews(object.name, object.revision, change.deleted)) {
+            return true;
+        }
+        if (change.deleted) {
+            m_known.remove(object.name);
+        } else {
+            m_known.update(object.name, object.revision);
+        }
+        return false;
+    });
+    m_known.noteCompleteTo(changes.storeRevision);
+    logUpdate("watch", changes.changes.size());
+    if (!changes.changes.empty()) {
+        m_callbacks.onChanges(changes);
+    }
+}
+
+void object_watcher::noteNewestRead(time_point begun, object_version storeRevision)
+{
+    m_newestReadAt = begun;
+    m_callbacks.onNewestRead(begun, storeRevision);
+}
+
 void object_watcher::logUpdate(std::string_view source, std::size_t objects) const
 {
-    const std::string sinceList = m_listedAt ? std::to_string((now() - *m_listedAt).count() / 1000) : "never";
+    const std::string sinceRead = m_newestReadAt == time_point() ? "never" : std::to_string((now() - m_newestReadAt).count() / 1000);
     logInfo("store.update",
             {{"kind", m_kind},
              {"source", std::string(source)},
              {"objects", std::to_string(objects)},
              {"revision", std::to_string(m_revision.value())},
-             {"since_list_ms", sinceList}});
+             {"since_read_ms", sinceRead}});
 }
 
 void object_watcher::noteFailure(const failure &reason)
@@ -170,8 +265,9 @@
 void object_watcher::scheduleAfter(duration pause, std::function<void()> action)
 {
     m_timer.expires_after(pause);
-    m_timer.async_wait([action = std::move(action)](const boost::system::error_code &cancelled) {
-        if (!cancelled) {
+    // Cancelling the timer doesn't stop an action that is already queued; a call that has begun since replaces it.
+    m_timer.async_wait([this, callNumber = m_callNumber, action = std::move(action)](const boost::system::error_code &cancelled) {
+        if (!cancelled && callNumber == m_callNumber) {
             action();
         }
     });
--- a/tier/peer_membership.cpp
+++ b/tier/peer_membership.cpp
@@ -45,6 +45,7 @@
     , m_codec(envelopeSettings(m_self, clusterName))
     , m_guard(2 * MAX_CLOCK_SKEW_MS)
     , m_engine(gossip_settings(), m_self, seed)
+    , m_random(seed)
 {
 }
 
@@ -249,14 +250,21 @@
     }
 }
 
-void peer_membership::handleEvents()
+void peer_membership::sendToRandom(std::size_t count, message_kind kind, const std::string &payload)
 {
-    const gossip_events events = m_engine.takeEvents();
-    for (const newer_config_peer &peer : events.newerConfigPeers) {
-        if (m_onNewerPeerRevision) {
-            m_onNewerPeerRevision(object_version(peer.version.value()));
+    std::vector<node_id> recipients;
+    const auto &live = m_engine.nodes().others().live();
+    std::sample(live.begin(), live.end(), std::back_inserter(recipients), count, m_random);
+    for (const node_id &id : recipients) {
+        if (const member *peer = m_engine.nodes().others().find(id)) {
+            sendDatagram(peer->peerAddress, id, kind, payload);
         }
     }
+}
+
+void peer_membership::handleEvents()
+{
+    const gossip_events events = m_engine.takeEvents();
     for (const fact &item : events.facts) {
         if (m_onFact) {
             m_onFact(item);
--- a/tier/peer_membership.h
+++ b/tier/peer_membership.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -36,10 +37,10 @@
     /** Tells the peers that this node leaves, so that they need not detect its failure. */
     void leave();
 
-    /** Sets the newest store revision that this node has seen; it is announced to the peers. */
-    void setNewestRevision(object_version revision) { m_engine.setConfigVersion(config_version(revision.value())); }
     /** Sends a message to the live nodes among the first @p count by id, except this one. It may be lost. */
     void sendToFirst(std::size_t count, message_kind kind, const std::string &payload);
+    /** Sends a message to up to @p count random live nodes. It may be lost. */
+    void sendToRandom(std::size_t count, message_kind kind, const std::string &payload);
     /** Sets the handler that is called with each message of the kind from a peer. */
     void onMessage(message_kind kind, std::function<void(const node_id &, const std::string &)> handler) { m_onMessage[kind] = std::move(handler); }
     /** Publishes a fact to all nodes; see fact_table. */
@@ -50,8 +51,6 @@
     std::size_t rank() const;
     /** Sets the handler that is called with each new fact of a peer. */
     void onFact(std::function<void(const fact &)> handler) { m_onFact = std::move(handler); }
-    /** Sets the handler that is called with a peer's store revision when it is newer than this node's. */
-    void onNewerPeerRevision(std::function<void(object_version)> handler) { m_onNewerPeerRevision = std::move(handler); }
 
     /** Other nodes that accept callers and are alive by the membership protocol. */
     std::vector<entry_node_candidate> entryNodes() const;
@@ -79,8 +78,8 @@
     envelope_codec m_codec;
     replay_guard m_guard;
     gossip_engine m_engine;
+    std::mt19937_64 m_random;
     std::map<node_id, time_point> m_lastLive; ///< When each node was last live; recent ones only.
-    std::function<void(object_version)> m_onNewerPeerRevision;
     std::function<void(const fact &)> m_onFact;
     std::map<message_kind, std::function<void(const node_id &, const std::string &)>> m_onMessage;
     std::array<char, envelope_codec::MAX_DATAGRAM_BYTES + 1> m_buffer{};
--- a/tier/store_sync_controller.cpp
+++ b/tier/store_sync_controller.cpp
@@ -11,18 +11,8 @@
 
 namespace snipefall {
 
-namespace {
-
-/**
- * A change in the store takes some 0.3 s to reach this node, so a peer can have a newer store revision for that long. After this longer time the answer to the
- * watch is assumed to be lost.
- */
-constexpr duration LOST_WATCH_TIMEOUT = std::chrono::milliseconds(1200);
-
-} // namespace
-
 store_sync_controller::store_sync_controller(
-    boost::asio::io_context &loop, store_client &store, tier_blackboard &board, move_driver &moves, const boot_settings &settings)
+    boost::asio::io_context &loop, store_client &store, tier_blackboard &board, move_driver &moves, const boot_settings &settings, run_number run)
     : m_board(board)
     , m_moveDriver(moves)
     , m_configuration(loop,
@@ -41,7 +31,8 @@
                                }
                            }
                        },
-                       [](bool) {}})
+                       reachabilityHandler(store_kind::configuration),
+                       readHandler(store_kind::configuration)})
     , m_backends(loop,
                  store,
                  m_retryCoordinator,
@@ -58,12 +49,14 @@
                       }
                   },
                   [this](bool reachable) {
+                      m_freshness.setReadable(store_kind::backend_servers, reachable);
                       if (reachable) {
                           m_board.servers.noteStoreAvailable(now());
                       } else {
                           m_board.servers.noteStoreUnavailable(now());
                       }
-                  }})
+                  },
+                  readHandler(store_kind::backend_servers)})
     , m_domains(loop,
                 store,
                 m_retryCoordinator,
@@ -84,7 +77,8 @@
                      }
                      publishExcludedDomains();
                  },
-                 [](bool) {}})
+                 reachabilityHandler(store_kind::excluded_domains),
+                 readHandler(store_kind::excluded_domains)})
     , m_moves(loop,
               store,
               m_retryCoordinator,
@@ -108,7 +102,10 @@
                        }
                    }
                },
-               [](bool) {}})
+               reachabilityHandler(store_kind::version_moves),
+               readHandler(store_kind::version_moves)})
+    , m_freshness(now(), run.value())
+    , m_run(run)
 {
     setBounds(settings);
 }
@@ -128,44 +125,115 @@
     }
 }
 
-std::map<std::string, duration> store_sync_controller::timeSinceLists(time_point start)
+std::map<std::string, duration> store_sync_controller::knowledgeAges() const
 {
-    std::map<std::string, duration> result;
-    for (const object_watcher *watcher : watchers()) {
-        result[watcher->kind()] = now() - watcher->listedAt().value_or(start);
+    std::map<std::string, duration> ages;
+    for (const store_kind kind : STORE_KINDS) {
+        ages[toString(kind)] = m_freshness.age(kind, now());
+    }
+    return ages;
+}
+
+bool store_sync_controller::applyPeerRead(const std::string &message)
+{
+    const outcome<fresh_read> read = decodeFreshRead(message);
+    if (!read) {
+        logWarning("store.peer_read_refused", {{"reason", read.reason().message}});
+        return false;
+    }
+    if (read->origin == m_run || !m_freshness.applyPeerRead(*read, now())) {
+        return false;
     }
-    return result;
+    catchUpWithPeers();
+    return true;
 }
 
-object_version store_sync_controller::newestRevision() const
+std::function<void(bool)> store_sync_controller::reachabilityHandler(store_kind kind)
 {
-    return std::max({m_configuration.newestRevision(), m_backends.newestRevision(), m_domains.newestRevision(), m_moves.newestRevision()});
+    return [this, kind](bool reachable) { m_freshness.setReadable(kind, reachable); };
 }
 
-void store_sync_controller::notePeerRevision(object_version newest)
+std::function<void(time_point, object_version)> store_sync_controller::readHandler(store_kind kind)
 {
-    m_newestPeerRevision = std::max(m_newestPeerRevision, newest);
-    if (newest > newestRevision() && !m_behindSince) {
-        m_behindSince = now();
+    return [this, kind](time_point begun, object_version storeRevision) { noteNewestRead(kind, begun, storeRevision); };
+}
+
+void store_sync_controller::noteNewestRead(store_kind kind, time_point begun, object_version storeRevision)
+{
+    m_freshness.noteRead(kind, begun, storeRevision);
+    // The list of excluded domains is short. If the store has not changed since the other kinds were read, it proves that they are known as well.
+    if (kind == store_kind::excluded_domains && m_freshness.roundRunning()) {
+        for (const store_kind other : STORE_KINDS) {
+            if (other == kind) {
+                continue;
+            }
+            if (m_freshness.readAt(other, storeRevision)) {
+                m_freshness.noteRead(other, begun, storeRevision);
+            } else {
+                watcher(other).verify();
+            }
+        }
     }
+    publishReadIfComplete();
 }
 
-void store_sync_controller::rewatchIfBehind()
+void store_sync_controller::beginRound()
 {
-    if (!m_behindSince) {
+    const bool oneAfterAnother = !m_freshness.isLate(now());
+    m_freshness.beginRound(now());
+    if (m_domains.verify() && oneAfterAnother) {
         return;
     }
-    if (m_newestPeerRevision <= newestRevision()) {
-        m_behindSince.reset();
-        return;
+    for (const store_kind kind : STORE_KINDS) {
+        watcher(kind).verify();
     }
-    if (now() - *m_behindSince < LOST_WATCH_TIMEOUT) {
+}
+
+void store_sync_controller::publishReadIfComplete()
+{
+    const std::optional<time_point> begun = m_freshness.endRoundIfComplete();
+    if (!begun) {
         return;
     }
-    m_behindSince = now();
-    logInfo("store.peer_ahead", {{"peer_revision", std::to_string(m_newestPeerRevision.value())}, {"own_revision", std::to_string(newestRevision().value())}});
-    for (object_watcher *watcher : watchers()) {
-        watcher->restartWatch();
+    fresh_read read{m_run, ++m_readNumber, now() - *begun, {}};
+    for (const store_kind kind : STORE_KINDS) {
+        if (m_freshness.readSince(kind, *begun)) {
+            read.kinds[static_cast<std::size_t>(kind)] = watcher(kind).known().version();
+        }
+    }
+    m_publishRead(encodeFreshRead(read));
+}
+
+void store_sync_controller::catchUpWithPeers()
+{
+    for (const store_kind kind : STORE_KINDS) {
+        const auto step = m_freshness.compare(kind, watcher(kind).known(), now());
+        if (step == freshness_monitor::catch_up::none) {
+            continue;
+        }
+        logInfo("store.peer_ahead",
+                {{"kind", toString(kind)},
+                 {"own_revision", std::to_string(watcher(kind).known().completeTo().value())},
+                 {"age_ms", std::to_string(m_freshness.age(kind, now()).count() / 1000)}});
+        if (step == freshness_monitor::catch_up::watch_newest) {
+            watcher(kind).watchNewest();
+        } else {
+            watcher(kind).verify();
+        }
+    }
+}
+
+void store_sync_controller::logOverdueKnowledge()
+{
+    for (const store_kind kind : STORE_KINDS) {
+        const duration age = m_freshness.age(kind, now());
+        if (age <= m_freshness.bound()) {
+            m_overdue.erase(kind);
+            continue;
+        }
+        if (m_overdue.insert(kind).second) {
+            logWarning("store.knowledge_overdue", {{"kind", toString(kind)}, {"age_ms", std::to_string(age.count() / 1000)}});
+        }
     }
 }
 
@@ -173,12 +241,20 @@
 {
     m_warmUpOverrun = settings.warmUpOverrun;
     m_warmUpSlack = settings.warmUpSlack;
+    m_freshness.setBound(settings.changeBound);
+    for (object_watcher *watcher : watchers()) {
+        watcher->setHistoryTime(settings.storeHistory);
+    }
     publishServiceRules();
 }
 
-void store_sync_controller::runDue()
+void store_sync_controller::runDue(std::optional<std::size_t> rank)
 {
-    rewatchIfBehind();
+    catchUpWithPeers();
+    if (m_freshness.roundDue(rank, now())) {
+        beginRound();
+    }
+    logOverdueKnowledge();
     for (const backend_server_id &id : m_board.servers.expire(now())) {
         logInfo("backend.expired", {{"server", id.str()}, {"reason", "not_listed_again_after_store_outage"}});
     }
--- a/tier/store_sync_controller.h
+++ b/tier/store_sync_controller.h
@@ -6,8 +6,10 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 
 #include "platform/boot_settings.h"
+#include "policy/freshness_monitor.h"
 #include "tier/object_watcher.h"
 #include "tier/store_retry_coordinator.h"
 
@@ -25,31 +27,42 @@
 class store_sync_controller
 {
 public:
-    store_sync_controller(boost::asio::io_context &loop, store_client &store, tier_blackboard &board, move_driver &moves, const boot_settings &settings);
+    store_sync_controller(
+        boost::asio::io_context &loop, store_client &store, tier_blackboard &board, move_driver &moves, const boot_settings &settings, run_number run);
 
     /** Starts following the store. With @p firstStart, the first start of the whole system, the initial lists may be a few seconds old. */
     void start(bool firstStart);
-    /** Applies the warm-up bounds of a changed settings file. */
+    /** Applies the bounds of a changed settings file. */
     void setBounds(const boot_settings &settings);
     /** Reads all lists from the store again, because the known state may be outdated without a sign of it, for example after a suspension. */
     void refresh();
-    /** For each kind of objects, the time since the start of the latest list of the newest state, or since @p start if there was none. */
-    std::map<std::string, duration> timeSinceLists(time_point start);
-    /** The highest store revision of all objects that this node has seen. */
-    object_version newestRevision() const;
-    /** Notes that a peer has seen the store revision @p newest. */
-    void notePeerRevision(object_version newest);
+    /** For each kind of objects, the time since the latest moment at which the knowledge of it was proved to be complete. */
+    std::map<std::string, duration> knowledgeAges() const;
+    /** Handles a peer's message about its read of the store; returns true if the message has to be passed on to other nodes. */
+    bool applyPeerRead(const std::string &message);
+    /** Sets the handler that sends a message about this node's read of the store to some peers. */
+    void setReadPublisher(std::function<void(const std::string &)> publish) { m_publishRead = std::move(publish); }
     /**
-     * Drops backend servers that the store has not listed again in time after an outage, and asks the store again for changes that a peer has seen and this
-     * node still lacks.
+     * Drops backend servers that the store has not listed again in time after an outage, and reads the newest state of the store before the known one is too
+     * old. @p rank is the number of live nodes whose ids sort before this node's, nothing if no other node is known.
      */
-    void runDue();
+    void runDue(std::optional<std::size_t> rank);
     /** Sets the handler that is called with each configuration that comes into force. */
     void onConfiguration(std::function<void(const site_configuration &)> handler) { m_onConfiguration = std::move(handler); }
 
 private:
-    std::array<object_watcher *, 4> watchers() { return {&m_configuration, &m_backends, &m_domains, &m_moves}; }
-    void rewatchIfBehind();
+    using kinds_watchers = std::array<object_watcher *, STORE_KINDS.size()>;
+
+    /** In the order of STORE_KINDS. */
+    kinds_watchers watchers() { return {&m_configuration, &m_backends, &m_domains, &m_moves}; }
+    object_watcher &watcher(store_kind kind) { return *watchers()[static_cast<std::size_t>(kind)]; }
+    std::function<void(bool)> reachabilityHandler(store_kind kind);
+    std::function<void(time_point, object_version)> readHandler(store_kind kind);
+    void noteNewestRead(store_kind kind, time_point begun, object_version storeRevision);
+    void beginRound();
+    void publishReadIfComplete();
+    void catchUpWithPeers();
+    void logOverdueKnowledge();
     void applyConfiguration(const stored_object &object);
     void applyBackend(const stored_object &object);
     void applyBackendListing(const object_listing &listing);
@@ -66,8 +79,11 @@
     object_watcher m_domains;
     object_watcher m_moves;
     std::set<failure_domain_id> m_excludedDomains;
-    object_version m_newestPeerRevision; ///< The highest store revision that any peer has reported.
-    std::optional<time_point> m_behindSince; ///< Since when a peer has been ahead of this node, or when the store was last asked because of that.
+    freshness_monitor m_freshness;
+    run_number m_run;
+    std::uint64_t m_readNumber = 0; ///< Of the last read that was published.
+    std::set<store_kind> m_overdue; ///< Kinds whose knowledge is older than the bound.
+    std::function<void(const std::string &)> m_publishRead = [](const std::string &) {};
     double m_warmUpOverrun = 1;
     double m_warmUpSlack = 0;
     std::function<void(const site_configuration &)> m_onConfiguration;
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -24,6 +24,9 @@
 /** Time for the last answers to be written to their connections before the event loop stops. */
 constexpr duration RESPONSE_FLUSH_TIME = std::chrono::milliseconds(150);
 
+/** Number of peers to which each node passes a message about a read of the store: it then reaches some 98% of them, and the next read most of the rest. */
+constexpr std::size_t READ_FANOUT = 4;
+
 std::filesystem::file_time_type modificationTime(const std::string &path)
 {
     std::error_code ignored; // A missing file is reported when it is read.
@@ -61,7 +64,7 @@
     , m_store(m_loop, m_boot.storeAddress)
     , m_client(m_loop, async_client_options())
     , m_moveDriver(m_store, m_board, m_boot.node)
-    , m_storeSync(m_loop, m_store, m_board, m_moveDriver, m_boot)
+    , m_storeSync(m_loop, m_store, m_board, m_moveDriver, m_boot, run_number(m_seed + 3))
     , m_crashController(m_client, m_store, m_board)
     , m_callers({m_loop, m_client, m_board, m_metrics, m_crashController, m_moveDriver}, m_settings, m_seed + 1)
     , m_callerServer(m_loop, [this](const std::shared_ptr<http_exchange> &exchange) { m_callers.handle(exchange); })
@@ -94,7 +97,12 @@
              {"store", m_boot.storeAddress},
              {"incarnation", std::to_string(m_self.started.value())}});
     m_storeSync.onConfiguration([this](const site_configuration &configuration) { applyConfiguration(configuration); });
-    m_peers.onNewerPeerRevision([this](object_version newestKnownToPeer) { m_storeSync.notePeerRevision(newestKnownToPeer); });
+    m_storeSync.setReadPublisher([this](const std::string &read) { m_peers.sendToRandom(READ_FANOUT, message_kind::fresh_read, read); });
+    m_peers.onMessage(message_kind::fresh_read, [this](const node_id &, const std::string &read) {
+        if (m_storeSync.applyPeerRead(read)) {
+            m_peers.sendToRandom(READ_FANOUT, message_kind::fresh_read, read);
+        }
+    });
     m_peers.onFact([this](const fact &peerFact) { handlePeerFact(peerFact); });
     m_moveDriver.setPeers({[this](fact ownFact) { m_peers.publish(std::move(ownFact)); },
                            [this](fact_kind kind) { return m_peers.facts(kind); },
@@ -175,8 +183,8 @@
     m_metrics.setGauge("refused_crashing_requests", static_cast<double>(m_crashController.refusedRequests()));
     m_metrics.setGauge("running_moves", static_cast<double>(m_moveDriver.running()));
     m_metrics.setGauge("store_calls", static_cast<double>(m_store.calls()));
-    for (const auto &[kind, age] : m_storeSync.timeSinceLists(m_startedAt)) {
-        m_metrics.setGauge("store_list_age_seconds_" + kind, std::chrono::duration<double>(age).count());
+    for (const auto &[kind, age] : m_storeSync.knowledgeAges()) {
+        m_metrics.setGauge("store_age_seconds_" + kind, std::chrono::duration<double>(age).count());
     }
     m_metrics.setGauge("backend_connections_opened", static_cast<double>(m_client.connectionsOpened()));
     http_response_message answer = nodeAnswer(200, request_id(), "", duration::zero());
@@ -281,10 +289,9 @@
         logWarning("node.was_suspended", {{"ms", std::to_string(suspended->count() / 1000)}});
         m_storeSync.refresh();
     }
-    m_storeSync.runDue();
+    m_storeSync.runDue(m_peers.livePeers() > 0 ? std::optional(m_peers.rank()) : std::nullopt);
     m_crashController.tick(now());
     m_moveDriver.runDue(now());
-    m_peers.setNewestRevision(m_storeSync.newestRevision());
     reloadIfChanged();
     updateLimitShares();
     joinPeersIfReady();
