Emulate writes that get no answer and are executed late

The store may execute a call whose answer is lost, at once or seconds later if its condition still holds. The emulated store did so only behind a proxy that drops answers, and never late. site_store::loseWriteAnswers does it for writes.

No bound on the time until the end is recorded is checked.

--- a/tests/stand_ins/site_store.cpp
+++ b/tests/stand_ins/site_store.cpp
@@ -175,7 +175,11 @@
         return;
     }
     if (request.method() != http::verb::get) {
-        write(kind, name, *exchange);
+        if (m_unansweredWriteDelay) {
+            writeWithoutAnswer(kind, name, exchange);
+        } else {
+            exchange->respond(write(kind, name, request));
+        }
         return;
     }
     if (!name.empty()) {
@@ -239,13 +243,11 @@
     return newest == m_log.rend() ? FIRST_REVISION : newest->revision;
 }
 
-void site_store::write(const std::string &kind, const std::string &name, http_exchange &exchange)
+http_response_message site_store::write(const std::string &kind, const std::string &name, const http_request_message &request)
 {
-    const http_request_message &request = exchange.request();
     const json body = request.body().empty() ? json::object() : json::parse(request.body(), nullptr, false);
     if (body.is_discarded()) {
-        exchange.respond(makeResponse(400, nullptr));
-        return;
+        return makeResponse(400, nullptr);
     }
     const json meta = body.value("meta", json::object());
     const std::string target(request.target());
@@ -259,24 +261,28 @@
     }
     const bool creates = request.method() == http::verb::post;
     if (!creates && existing.is_null()) {
-        exchange.respond(makeResponse(404, nullptr));
-        return;
+        return makeResponse(404, nullptr);
     }
     if ((creates && !existing.is_null()) || (!creates && expectedRevision != 0 && expectedRevision != existing["meta"]["revision"].get<std::uint64_t>())) {
-        exchange.respond(makeResponse(409, existing));
-        return;
+        return makeResponse(409, existing);
     }
     if (request.method() == http::verb::delete_) {
         remove(kind, objectName);
-        exchange.respond(makeResponse(200, existing));
-        return;
+        return makeResponse(200, existing);
     }
     if (setsStatus) {
         putStatus(kind, objectName, body.value("status", json()));
     } else {
         put(kind, objectName, body.value("spec", json()));
     }
-    exchange.respond(makeResponse(200, find(kind, objectName)));
+    return makeResponse(200, find(kind, objectName));
+}
+
+void site_store::writeWithoutAnswer(const std::string &kind, const std::string &name, const std::shared_ptr<http_exchange> &exchange)
+{
+    m_unanswered.push_back(exchange);
+    const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, *m_unansweredWriteDelay);
+    timer->async_wait([this, kind, name, exchange, timer](const boost::system::error_code &) { write(kind, name, exchange->request()); });
 }
 
 void site_store::record(const std::string &kind, const json &object, bool deleted)
--- a/tests/stand_ins/site_store.h
+++ b/tests/stand_ins/site_store.h
@@ -2,6 +2,7 @@
 
 #include <list>
 #include <map>
+#include <optional>
 #include <string>
 
 #include <boost/asio/io_context.hpp>
@@ -42,6 +43,8 @@
     void setCopyAge(std::chrono::milliseconds age) { m_copyAge = age; }
     /** Leaves the pending watches open without telling them of any further change. */
     void forgetWatches();
+    /** Gives writes no answer; each is executed after @p delay if its condition still holds then. No value ends that for later writes. */
+    void loseWriteAnswers(std::optional<std::chrono::milliseconds> delay) { m_unansweredWriteDelay = delay; }
     std::uint64_t calls() const { return m_calls; }
 
 private:
@@ -71,7 +74,8 @@
     std::map<std::string, json> visibleObjects(const std::string &kind, bool staleAllowed) const;
     std::uint64_t visibleRevision(bool staleAllowed) const;
     bool isVisible(const change &item, bool staleAllowed) const;
-    void write(const std::string &kind, const std::string &name, http_exchange &exchange);
+    http_response_message write(const std::string &kind, const std::string &name, const http_request_message &request);
+    void writeWithoutAnswer(const std::string &kind, const std::string &name, const std::shared_ptr<http_exchange> &exchange);
     void putStatus(const std::string &kind, const std::string &name, json status);
     void record(const std::string &kind, const json &object, bool deleted);
     bool answerWatch(const watch &waiting);
@@ -91,6 +95,7 @@
     std::uint64_t m_calls = 0;
     std::chrono::milliseconds m_delay{0};
     std::chrono::milliseconds m_copyAge{0};
+    std::optional<std::chrono::milliseconds> m_unansweredWriteDelay;
     std::string m_refusedKind;
     condition m_condition = condition::fault_free;
 };
