Emulate a store that refuses single nodes

The store may reject some machines while it serves the others. The emulated store refused everybody or nobody; only resets and silence could be aimed at one node, by its proxy, and no tier test did so. Each node now has an entrance of its own to the store, which site_emulator::refuseNode closes with a status.

--- a/tests/stand_ins/site_emulator.cpp
+++ b/tests/stand_ins/site_emulator.cpp
@@ -146,7 +146,7 @@
           {"warmup_overrun", 1.5},
           {"warmup_slack", 5},
           {"ttl_max_s", 5}}},
-        {"platform", {{"address", state.storeProxy ? state.storeProxy->address() : m_store->address()}}}};
+        {"platform", {{"address", state.storeProxy ? state.storeProxy->address() : state.storeAddress}}}};
     std::ofstream(pathOf(name, ".json")) << boot.dump();
 }
 
@@ -156,9 +156,12 @@
     if (state.addresses.callers.empty()) {
         state.addresses = {freeAddress(), freeAddress(), freeAddress(), freeAddress(), freeAddress()};
         m_seeds.push_back(state.addresses.peers);
-        if (m_options.proxies) {
-            onLoop([&] { state.storeProxy = std::make_unique<loopback_proxy>(m_loop, m_store->address()); });
-        }
+        onLoop([&] {
+            state.storeAddress = m_store->openEntrance();
+            if (m_options.proxies) {
+                state.storeProxy = std::make_unique<loopback_proxy>(m_loop, state.storeAddress);
+            }
+        });
     }
     state.domain = domain;
     writeSettingsFile(name, m_options.retrySlack);
--- a/tests/stand_ins/site_emulator.h
+++ b/tests/stand_ins/site_emulator.h
@@ -111,6 +111,8 @@
     /** The proxies in front of the backend servers and, for each node, of the store. Require options::proxies; to be used only on the event loop. */
     std::vector<std::unique_ptr<loopback_proxy>> &serverProxies() { return m_serverProxies; }
     loopback_proxy &storeProxy(const std::string &node) { return *m_nodes.at(node).storeProxy; }
+    /** Makes the store answer each call of this node with @p status, and execute none, while it serves the others; 0 ends that. */
+    void refuseNode(const std::string &node, unsigned status) { m_store->refuseEntrance(m_nodes.at(node).storeAddress, status); }
     std::vector<std::string> nodeNames() const;
     boost::asio::io_context &loop() { return m_loop; }
 
@@ -124,6 +126,7 @@
     {
         node_addresses addresses;
         std::string domain;
+        std::string storeAddress; ///< The node's own entrance to the store.
         std::unique_ptr<child_process> process;
         std::unique_ptr<loopback_proxy> storeProxy;
     };
--- a/tests/stand_ins/site_store.cpp
+++ b/tests/stand_ins/site_store.cpp
@@ -38,19 +38,46 @@
 
 site_store::site_store(boost::asio::io_context &loop)
     : m_loop(loop)
-    , m_server(loop, [this](const std::shared_ptr<http_exchange> &exchange) { handle(exchange); })
     , m_timer(loop)
 {
-    m_server.listen("127.0.0.1:0");
+    open(m_main);
+    expireWatches();
+}
+
+void site_store::open(entrance &added)
+{
+    added.server = std::make_unique<async_http_server>(m_loop, [this, &added](const std::shared_ptr<http_exchange> &exchange) { handle(exchange, added); });
+    added.server->listen("127.0.0.1:0");
     async_server_limits limits;
     limits.idleTimeout = std::chrono::minutes(1);
-    m_server.setLimits(limits);
-    expireWatches();
+    added.server->setLimits(limits);
 }
 
-std::string site_store::address() const
+std::string site_store::addressOf(const entrance &asked)
 {
-    return "127.0.0.1:" + std::to_string(m_server.port());
+    return "127.0.0.1:" + std::to_string(asked.server->port());
+}
+
+std::string site_store::openEntrance()
+{
+    open(m_entrances.emplace_back());
+    return addressOf(m_entrances.back());
+}
+
+void site_store::refuseEntrance(const std::string &address, unsigned status)
+{
+    const auto refused = std::find_if(m_entrances.begin(), m_entrances.end(), [&](const entrance &item) { return addressOf(item) == address; });
+    refused->refusal = status;
+    if (status == 0) {
+        return;
+    }
+    m_watches.remove_if([&](const watch &waiting) {
+        if (waiting.from != &*refused) {
+            return false;
+        }
+        waiting.exchange->respond(makeResponse(status, nullptr));
+        return true;
+    });
 }
 
 void site_store::put(const std::string &kind, const std::string &name, json spec)
@@ -138,9 +165,13 @@
     }
 }
 
-void site_store::handle(const std::shared_ptr<http_exchange> &exchange)
+void site_store::handle(const std::shared_ptr<http_exchange> &exchange, const entrance &from)
 {
     ++m_calls;
+    if (from.refusal != 0) {
+        exchange->respond(makeResponse(from.refusal, nullptr));
+        return;
+    }
     if (m_condition == condition::silent) {
         m_unanswered.push_back(exchange);
         return;
@@ -150,14 +181,14 @@
         return;
     }
     if (m_delay.count() == 0) {
-        serve(exchange);
+        serve(exchange, from);
         return;
     }
     const auto timer = std::make_shared<boost::asio::steady_timer>(m_loop, m_delay);
-    timer->async_wait([this, exchange, timer](const boost::system::error_code &) { serve(exchange); });
+    timer->async_wait([this, exchange, &from, timer](const boost::system::error_code &) { serve(exchange, from); });
 }
 
-void site_store::serve(const std::shared_ptr<http_exchange> &exchange)
+void site_store::serve(const std::shared_ptr<http_exchange> &exchange, const entrance &from)
 {
     const http_request_message &request = exchange->request();
     const std::string target(request.target());
@@ -193,7 +224,7 @@
         return;
     }
     const auto deadline = clock::now() + std::chrono::milliseconds(std::stoull(parameters["wait_ms"]));
-    const watch waiting{kind, std::stoull(parameters["watch"]), deadline, staleAllowed, exchange};
+    const watch waiting{kind, std::stoull(parameters["watch"]), deadline, staleAllowed, exchange, &from};
     if (!answerWatch(waiting)) {
         m_watches.push_back(waiting);
     }
--- a/tests/stand_ins/site_store.h
+++ b/tests/stand_ins/site_store.h
@@ -26,7 +26,11 @@
 
     explicit site_store(boost::asio::io_context &loop);
 
-    std::string address() const;
+    std::string address() const { return addressOf(m_main); }
+    /** Opens a further address for one node, so that its calls can be refused while those of others are served. */
+    std::string openEntrance();
+    /** Answers the calls at this address, and the watches that are pending there, with this status and executes none; 0 ends that. */
+    void refuseEntrance(const std::string &address, unsigned status);
 
     void put(const std::string &kind, const std::string &name, json spec);
     void remove(const std::string &kind, const std::string &name);
@@ -50,6 +54,12 @@
 private:
     using clock = std::chrono::steady_clock;
 
+    struct entrance
+    {
+        std::unique_ptr<async_http_server> server;
+        unsigned refusal = 0; ///< Status of all answers; 0 if calls are served.
+    };
+
     struct change
     {
         std::uint64_t revision;
@@ -64,11 +74,14 @@
         clock::time_point deadline;
         bool staleAllowed;
         std::shared_ptr<http_exchange> exchange;
+        const entrance *from;
         bool forgotten = false;
     };
 
-    void handle(const std::shared_ptr<http_exchange> &exchange);
-    void serve(const std::shared_ptr<http_exchange> &exchange);
+    void open(entrance &added);
+    static std::string addressOf(const entrance &asked);
+    void handle(const std::shared_ptr<http_exchange> &exchange, const entrance &from);
+    void serve(const std::shared_ptr<http_exchange> &exchange, const entrance &from);
     void list(const std::string &kind, const std::string &after, bool staleAllowed, http_exchange &exchange) const;
     /** The objects of a kind, and the store revision, as a call sees them. */
     std::map<std::string, json> visibleObjects(const std::string &kind, bool staleAllowed) const;
@@ -83,7 +96,8 @@
     void expireWatches();
 
     boost::asio::io_context &m_loop;
-    async_http_server m_server;
+    entrance m_main;
+    std::list<entrance> m_entrances; ///< Besides the main one.
     boost::asio::steady_timer m_timer;
     std::map<std::string, std::map<std::string, json>> m_objects;
     std::list<change> m_history;
