--- a/tests/tier/test_crash_trials.cpp
+++ b/tests/tier/test_crash_trials.cpp
@@ -221,4 +221,19 @@
     BOOST_TEST(std::count(waits.begin(), waits.end(), duration::zero()) == 1);
 }
 
+// Guards against a node that ends, or trials whose number isn't bounded, because another writer put a record that can't be read.
+BOOST_DATA_TEST_CASE(unreadableRecordGrantsAtMostOneTrial,
+                     boost::unit_test::data::make({"null", "7", "[1]", "{}", R"({"trials": "1", "last_ms": "1"})", R"({"trials": -1, "last_ms": 1.5})"}),
+                     text)
+{
+    ledger_fixture fixture;
+    fixture.store.put(TRIALS_KIND, "000000000000abcd", json::parse(text));
+    std::size_t granted = 0;
+    for (int i = 0; i < 3; ++i) {
+        granted += fixture.take(fixture.first) == duration::zero() ? 1 : 0;
+        granted += fixture.take(fixture.second) == duration::zero() ? 1 : 0;
+    }
+    BOOST_TEST(granted <= 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
