Handle signals that arrive while a node starts

Cause: until tier_process has installed its handlers, SIGHUP, SIGINT and SIGTERM end the process by their default action, so a reload or a planned stop just after a start counts as a process that ended by itself.

Change: the three signals are blocked from .preinit_array, before the constructors of shared libraries, and delivered once the handlers are installed. A node without a platform has no handler for SIGHUP and gets its default action back.

With SIG_BLOCK instead of SIG_SETMASK hangupEndsNodeWithoutPlatform fails.

--- a/node/main.cpp
+++ b/node/main.cpp
@@ -11,6 +11,7 @@
 #include "core/settings_table.h"
 #include "node/node.h"
 #include "node/node_settings.h"
+#include "node/start_signals.h"
 #include "platform/boot_settings.h"
 #include "tier/tier_process.h"
 #include "tier/tier_settings.h"
@@ -48,6 +49,7 @@
     }
     std::signal(SIGPIPE, SIG_IGN);
     tier_process process(settings, std::move(boot).value());
+    deliverStartSignals();
     if (const auto problem = process.run()) {
         fmt::print(stderr, "snipefalld: {}\n", *problem);
         return EXIT_START;
@@ -88,12 +90,13 @@
     if (onPlatform) {
         return runOnPlatform(*values);
     }
-    // Blocks the signals in all threads; sigwait() below receives them. SIGPIPE is ignored, so that a write to a closed connection returns an error.
+    // Blocks the signals in all threads; sigwait() below receives them. SIGHUP, blocked since the start, gets its default action back. SIGPIPE is ignored, so
+    // that a write to a closed connection returns an error.
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    pthread_sigmask(SIG_SETMASK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
 
     node running(node_settings::fromValues(*values));
--- a/tests/stand_ins/site_emulator.cpp
+++ b/tests/stand_ins/site_emulator.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/post.hpp>
 #include <fmt/format.h>
 #include <stdlib.h>
+#include <sys/stat.h>
 
+#include "core/invariant.h"
 #include "tests/stand_ins/free_port.h"
 
 namespace snipefall {
@@ -151,6 +153,29 @@
 }
 
 void site_emulator::startNode(const std::string &name, const std::string &domain)
+{
+    prepareNode(name, domain);
+    launchNode(name);
+}
+
+void site_emulator::startNodeSlowly(const std::string &name, const std::string &domain, const std::function<void()> &whileStarting)
+{
+    prepareNode(name, domain);
+    // The node blocks while it reads a FIFO without data. Later reads of the path find the regular file.
+    const std::string path = pathOf(name, ".json");
+    const std::string fifo = pathOf(name, ".fifo");
+    const std::string regular = pathOf(name, ".regular");
+    std::filesystem::rename(path, regular);
+    SNIPEFALL_INVARIANT(mkfifo(fifo.c_str(), 0600) == 0, "a test can't create a FIFO");
+    std::filesystem::rename(fifo, path);
+    launchNode(name);
+    std::ofstream settings(path);
+    std::filesystem::rename(regular, path);
+    whileStarting();
+    settings << std::ifstream(path).rdbuf();
+}
+
+void site_emulator::prepareNode(const std::string &name, const std::string &domain)
 {
     node_state &state = m_nodes[name];
     if (state.addresses.callers.empty()) {
@@ -162,6 +187,11 @@
     }
     state.domain = domain;
     writeSettingsFile(name, m_options.retrySlack);
+}
+
+void site_emulator::launchNode(const std::string &name)
+{
+    node_state &state = m_nodes.at(name);
     const std::string metricsPort = state.addresses.metrics.substr(state.addresses.metrics.find(':') + 1);
     state.process = std::make_unique<child_process>(
         "snipefalld", std::vector<std::string>{"--boot", pathOf(name, ".json"), "--metrics-port", metricsPort}, pathOf(name, ".log"));
--- a/tests/stand_ins/site_emulator.h
+++ b/tests/stand_ins/site_emulator.h
@@ -69,6 +69,8 @@
     }
 
     void startNode(const std::string &name, const std::string &domain);
+    /** Starts a node that can read its settings only after @p whileStarting has returned, which is called once the node has opened the settings file. */
+    void startNodeSlowly(const std::string &name, const std::string &domain, const std::function<void()> &whileStarting);
     child_process &node(const std::string &name) { return *m_nodes.at(name).process; }
     const node_addresses &addresses(const std::string &name) const { return m_nodes.at(name).addresses; }
     std::string logOf(const std::string &name) const;
@@ -128,6 +130,9 @@
         std::unique_ptr<loopback_proxy> storeProxy;
     };
 
+    /** Assigns the addresses of a new node and writes its settings file. */
+    void prepareNode(const std::string &name, const std::string &domain);
+    void launchNode(const std::string &name);
     void after(std::chrono::milliseconds delay, std::function<void()> action);
     void crashServer(std::size_t index, std::chrono::milliseconds downtime);
     std::string pathOf(const std::string &node, const std::string &suffix) const;
