Join the peers once the peer address is free

Cause: the UDP bind was tried once. With the address in use for a moment the node served but never joined its peers and never registered.

--- a/tier/peer_membership.cpp
+++ b/tier/peer_membership.cpp
@@ -61,6 +61,8 @@
         m_socket.bind(endpoint, error);
     }
     if (error) {
+        boost::system::error_code ignored; // Nothing was sent yet.
+        m_socket.close(ignored);
         return "can't bind peer address " + m_self.peerAddress + ": " + error.message();
     }
     m_socket.non_blocking(true);
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -2,6 +2,7 @@
 
 #include <csignal>
 #include <random>
+#include <utility>
 
 #include "core/logger.h"
 #include "platform/caller_messages.h"
@@ -223,11 +224,17 @@
     if (m_joined || !m_board.ready()) {
         return;
     }
-    m_joined = true;
     if (const auto problem = m_peers.start(m_boot.seedPeers)) {
-        logError("peers.not_joined", {{"reason", *problem}});
+        // Housekeeping tries again.
+        if (!std::exchange(m_peerAddressFailed, true)) {
+            logError("peers.not_joined", {{"reason", *problem}});
+        }
         return;
     }
+    m_joined = true;
+    if (m_peerAddressFailed) {
+        logInfo("peers.joined", {{"address", m_boot.peerAddress}});
+    }
     m_nodeRegistration.start();
     logInfo("node.ready", {{"config", std::to_string(m_board.routes->configuration().version.value())}, {"servers", std::to_string(m_board.servers.size())}});
 }
--- a/tier/tier_process.h
+++ b/tier/tier_process.h
@@ -84,6 +84,7 @@
     std::size_t m_registeredNodes = 0;
     time_point m_startedAt;
     bool m_joined = false;
+    bool m_peerAddressFailed = false; ///< Whether an attempt to bind the peer address failed.
 };
 
 } // namespace snipefall
