Wait for listen addresses that are in use at the start

Cause: listen() failed once and the node ended with code 3, for example when its predecessor had not ended yet.

Change: the node tries again every 20 ms for 5 s and then ends with code 3 as before. A stop while it waits ends it with code 0. One line for the loss (address.not_usable) and one for the gain (address.usable). A failed attempt closes its socket, so that the next one can open it.

--- a/http/async_http_server.cpp
+++ b/http/async_http_server.cpp
@@ -45,6 +45,8 @@
         m_acceptor.listen(LISTEN_BACKLOG, error);
     }
     if (error) {
+        boost::system::error_code ignored; // Nothing was accepted yet.
+        m_acceptor.close(ignored);
         return "can't listen on " + address + ": " + error.message();
     }
     accept();
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -18,6 +18,9 @@
 constexpr duration HOUSEKEEPING_INTERVAL = std::chrono::milliseconds(250);
 /** For this time after its start a node counts all registered nodes as live, because it may not have found all of its peers yet. */
 constexpr duration JOIN_PERIOD = std::chrono::seconds(10);
+/** A starting node waits this long for listen addresses that it can't use, for example because its predecessor hasn't ended yet. */
+constexpr duration LISTEN_PATIENCE = std::chrono::seconds(5);
+constexpr duration LISTEN_PAUSE = std::chrono::milliseconds(20);
 /** A stopping node stops accepting connections this long before the grace time ends. Until then, callers may still use its address from the directory. */
 constexpr duration ACCEPT_CUTOFF_BEFORE_KILL = std::chrono::milliseconds(900);
 /** A stopping node answers all requests that are still running this long before the grace time ends, and then exits. */
@@ -58,6 +61,7 @@
     , m_signals(m_loop, SIGTERM, SIGINT, SIGHUP)
     , m_housekeepingTimer(m_loop)
     , m_stopTimer(m_loop)
+    , m_startTimer(m_loop)
     , m_board(m_boot.domain, m_seed)
     , m_store(m_loop, m_boot.storeAddress)
     , m_client(m_loop, async_client_options())
@@ -84,9 +88,33 @@
 }
 
 std::optional<std::string> tier_process::run()
+{
+    waitForSignals();
+    start();
+    m_loop.run();
+    if (!m_startProblem) {
+        logInfo("node.stopped", {{"node", m_boot.node.str()}});
+    }
+    return m_startProblem;
+}
+
+void tier_process::start()
 {
     if (auto problem = listen()) {
-        return problem;
+        if (now() - m_startedAt >= LISTEN_PATIENCE) {
+            m_startProblem = std::move(problem);
+            m_loop.stop();
+            return;
+        }
+        if (!std::exchange(m_listenFailed, true)) {
+            logWarning("address.not_usable", {{"reason", *problem}});
+        }
+        scheduleAfter(m_startTimer, LISTEN_PAUSE, &tier_process::start);
+        return;
+    }
+    m_started = true;
+    if (m_listenFailed) {
+        logInfo("address.usable", {{"waited_ms", std::to_string((now() - m_startedAt).count() / 1000)}});
     }
     logInfo("node.started",
             {{"node", m_boot.node.str()},
@@ -105,27 +133,27 @@
     m_crashController.setFactPublisher([this](fact ownFact) { m_peers.publish(std::move(ownFact)); });
     applyBootSettings();
     m_storeSync.start(m_boot.firstStart);
-    waitForSignals();
     housekeeping();
-    m_loop.run();
-    logInfo("node.stopped", {{"node", m_boot.node.str()}});
-    return std::nullopt;
 }
 
 std::optional<std::string> tier_process::listen()
 {
-    if (auto problem = m_callerServer.listen(m_boot.callerAddress)) {
-        return problem;
-    }
-    if (auto problem = m_readyServer.listen(m_boot.readyAddress)) {
-        return problem;
-    }
-    if (auto problem = m_directoryServer.listen(m_boot.directoryAddress)) {
-        return problem;
-    }
+    std::vector<std::pair<async_http_server *, std::string>> servers = {
+        {&m_callerServer, m_boot.callerAddress},
+        {&m_readyServer, m_boot.readyAddress},
+        {&m_directoryServer, m_boot.directoryAddress},
+    };
     if (m_settings.metricsPort != 0) {
         const std::string ip = m_boot.callerAddress.substr(0, m_boot.callerAddress.rfind(':'));
-        return m_metricsServer.listen(ip + ":" + std::to_string(m_settings.metricsPort));
+        servers.emplace_back(&m_metricsServer, ip + ":" + std::to_string(m_settings.metricsPort));
+    }
+    for (const auto &[server, address] : servers) {
+        if (server->port() != 0) {
+            continue; // An earlier attempt succeeded.
+        }
+        if (auto problem = server->listen(address)) {
+            return problem;
+        }
     }
     return std::nullopt;
 }
@@ -299,6 +327,10 @@
 {
     logInfo("node.stopping", {{"running", std::to_string(m_callers.running())}, {"connections", std::to_string(m_callerServer.openConnections())}});
     m_board.stopping = true;
+    if (!m_started) {
+        m_loop.stop();
+        return;
+    }
     m_callerServer.closeAfterResponses();
     if (m_joined) {
         m_peers.announceDraining();
--- a/tier/tier_process.h
+++ b/tier/tier_process.h
@@ -37,6 +37,8 @@
 
 private:
     std::optional<std::string> listen();
+    /** Starts the node once it can listen on its addresses; tries again for a limited time and then ends the event loop with m_startProblem. */
+    void start();
     void answerReadinessCheck(http_exchange &exchange);
     void answerDirectoryLookup(http_exchange &exchange);
     void answerMetrics(http_exchange &exchange);
@@ -62,6 +64,7 @@
     boost::asio::signal_set m_signals;
     boost::asio::steady_timer m_housekeepingTimer;
     boost::asio::steady_timer m_stopTimer;
+    boost::asio::steady_timer m_startTimer;
     tier_metrics m_metrics;
     tier_blackboard m_board;
     store_client m_store;
@@ -84,6 +87,9 @@
     std::size_t m_registeredNodes = 0;
     time_point m_startedAt;
     bool m_joined = false;
+    bool m_started = false; ///< Whether the node has all of its listen addresses; see start().
+    bool m_listenFailed = false; ///< Whether an attempt to listen failed.
+    std::optional<std::string> m_startProblem;
     bool m_peerAddressFailed = false; ///< Whether an attempt to bind the peer address failed.
 };
 
