Run the soak with an old copy of the store, and keep the logs of broken seeds

Nothing but the emulated copy's age is new in what a seed does, so that earlier seeds keep their faults. Names in freshness_monitor say more plainly what they hold, and a test no longer hangs if a node dies before it opens its settings file.

--- a/policy/freshness_monitor.cpp
+++ b/policy/freshness_monitor.cpp
@@ -30,7 +30,7 @@
     std::mt19937_64 random(seed);
     m_jitter = std::uniform_real_distribution<double>(0.0, 1.0)(random);
     m_currentAt.fill(start);
-    m_readAt.fill(time_point());
+    m_readBegun.fill(time_point());
     m_readable.fill(true);
 }
 
@@ -42,11 +42,11 @@
 void freshness_monitor::noteRead(store_kind kind, time_point begun, object_version storeRevision)
 {
     m_currentAt[index(kind)] = std::max(m_currentAt[index(kind)], begun);
-    m_readAt[index(kind)] = std::max(m_readAt[index(kind)], begun);
+    m_readBegun[index(kind)] = std::max(m_readBegun[index(kind)], begun);
     m_readRevision[index(kind)] = storeRevision;
 }
 
-bool freshness_monitor::readAt(store_kind kind, object_version storeRevision) const
+bool freshness_monitor::wasReadAt(store_kind kind, object_version storeRevision) const
 {
     return storeRevision != object_version() && m_readRevision[index(kind)] == storeRevision;
 }
@@ -85,16 +85,15 @@
         m_currentAt[index(kind)] = std::max(m_currentAt[index(kind)], claim->asOf);
     }
     // A list that began after the peer's read is newer than it.
-    if (covered || m_readAt[index(kind)] >= claim->asOf) {
-        claim->behindSince.reset();
+    if (covered || m_readBegun[index(kind)] >= claim->asOf) {
+        claim->lastStepAt.reset();
         claim->lastStep = catch_up::none;
         return catch_up::none;
     }
-    if (!claim->behindSince) {
-        claim->behindSince = now;
+    if (!claim->lastStepAt) {
         claim->lastStepAt = now;
     }
-    if (now - claim->lastStepAt < WATCH_DELAY) {
+    if (now - *claim->lastStepAt < WATCH_DELAY) {
         return catch_up::none;
     }
     claim->lastStepAt = now;
--- a/policy/freshness_monitor.h
+++ b/policy/freshness_monitor.h
@@ -37,8 +37,8 @@
 
     /** Notes that all of a kind was read from the newest state as of @p storeRevision, by a call that began at @p begun. */
     void noteRead(store_kind kind, time_point begun, object_version storeRevision);
-    /** Whether nothing was changed in the store between the last read of the kind and @p storeRevision. */
-    bool readAt(store_kind kind, object_version storeRevision) const;
+    /** Whether the last read of the kind was as of @p storeRevision, so that nothing was changed in between. */
+    bool wasReadAt(store_kind kind, object_version storeRevision) const;
     /** Applies a peer's read. Returns true if it was not known yet, so that it has to be passed on. */
     bool applyPeerRead(const fresh_read &read, time_point now);
     /** Compares a kind with the newest read of a peer and returns what has to be done if it stays behind. */
@@ -53,23 +53,23 @@
     void beginRound(time_point now) { m_roundBegun = now; }
     bool roundRunning() const { return m_roundBegun.has_value(); }
     /** Whether this node itself has read the kind by a call that began at @p begun or later. */
-    bool readSince(store_kind kind, time_point begun) const { return m_readAt[index(kind)] >= begun; }
+    bool readSince(store_kind kind, time_point begun) const { return m_readBegun[index(kind)] >= begun; }
     /** The start of the running round, if all readable kinds have been read since; ends the round. */
     std::optional<time_point> endRoundIfComplete();
 
     /** Time since the latest moment at which the knowledge of the kind was proved to be complete. */
     duration age(store_kind kind, time_point now) const { return now - m_currentAt[index(kind)]; }
-    /** The knowledge of no kind has been older than this bound while the store could be read. */
+    /** Upper limit of the age of each kind while calls to the store succeed. */
     duration bound() const { return m_bound; }
 
 private:
+    /** What the newest read of a peer says of one kind, and what this node has done since it found itself behind. */
     struct peer_claim
     {
         kind_version version;
         time_point asOf;
-        std::optional<time_point> behindSince;
+        std::optional<time_point> lastStepAt; ///< Of the last step to catch up, or when the node fell behind; nothing if it isn't behind.
         catch_up lastStep = catch_up::none;
-        time_point lastStepAt;
     };
 
     struct last_read
@@ -84,7 +84,7 @@
     duration m_bound{};
     double m_jitter; ///< Between 0 and 1, so that nodes that hear of no read don't ask at the same moment.
     std::array<time_point, STORE_KINDS.size()> m_currentAt;
-    std::array<time_point, STORE_KINDS.size()> m_readAt; ///< Start of the last read by this node.
+    std::array<time_point, STORE_KINDS.size()> m_readBegun; ///< Start of the last read by this node.
     std::array<object_version, STORE_KINDS.size()> m_readRevision;
     std::array<bool, STORE_KINDS.size()> m_readable;
     std::array<std::optional<peer_claim>, STORE_KINDS.size()> m_claims;
--- a/tests/policy/freshness_simulation.cpp
+++ b/tests/policy/freshness_simulation.cpp
@@ -149,7 +149,7 @@
         if (kind == store_kind::excluded_domains) {
             continue;
         }
-        if (reader.monitor.readAt(kind, m_storeRevision)) {
+        if (reader.monitor.wasReadAt(kind, m_storeRevision)) {
             reader.monitor.noteRead(kind, m_now, m_storeRevision);
         } else {
             read(reader, kind);
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,4 +1,5 @@
 #include <cstdlib>
+#include <string>
 
 #include <fmt/format.h>
 #include <getopt.h>
@@ -14,8 +15,10 @@
 
 void printUsage()
 {
-    fmt::print("soak [--seed N] [--seeds N] [--seconds N] [--nodes N] [--shards N] [--rate N] [--move]\n"
-               "  Runs nodes under load and faults with the seeds from --seed on, and prints every broken promise.\n");
+    fmt::print("soak [--seed N] [--seeds N] [--seconds N] [--nodes N] [--shards N] [--rate N] [--move] [--copy-age-ms N] [--logs FOLDER]\n"
+               "  Runs nodes under load and faults with the seeds from --seed on, and prints every broken promise.\n"
+               "  --copy-age-ms  age of the copy that answers calls of the store which allow stale data\n"
+               "  --logs         where the nodes' logs of a broken seed are kept, in a folder seed-N\n");
 }
 
 } // namespace
@@ -24,6 +27,7 @@
 {
     soak_run::options options;
     unsigned seeds = 1;
+    std::string logFolder;
     const option longOptions[] = {{"seed", required_argument, nullptr, 's'},
                                   {"seeds", required_argument, nullptr, 'c'},
                                   {"seconds", required_argument, nullptr, 't'},
@@ -31,6 +35,8 @@
                                   {"shards", required_argument, nullptr, 'h'},
                                   {"rate", required_argument, nullptr, 'r'},
                                   {"move", no_argument, nullptr, 'm'},
+                                  {"copy-age-ms", required_argument, nullptr, 'a'},
+                                  {"logs", required_argument, nullptr, 'l'},
                                   {nullptr, 0, nullptr, 0}};
     for (int letter = getopt_long(argc, argv, "", longOptions, nullptr); letter != -1; letter = getopt_long(argc, argv, "", longOptions, nullptr)) {
         const unsigned value = !optarg ? 0 : static_cast<unsigned>(std::strtoul(optarg, nullptr, 10));
@@ -56,6 +62,12 @@
         case 'm':
             options.move = true;
             break;
+        case 'a':
+            options.copyAge = std::chrono::milliseconds(value);
+            break;
+        case 'l':
+            logFolder = optarg;
+            break;
         default:
             printUsage();
             return EXIT_USAGE;
@@ -67,6 +79,9 @@
         const std::vector<std::string> violations = soak.run();
         fmt::print("seed {}: {}; {}\n", options.seed, violations.empty() ? "kept" : "BROKEN", soak.summary());
         std::fflush(stdout);
+        if (!violations.empty() && !logFolder.empty()) {
+            soak.copyLogs(fmt::format("{}/seed-{}", logFolder, options.seed));
+        }
         if (violations.empty()) {
             continue;
         }
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -60,6 +60,7 @@
         }
     }
     m_startedAt = steady::now();
+    m_site.onLoop([this] { m_site.store().setCopyAge(m_options.copyAge); });
     if (m_options.move) {
         startMove();
     }
--- a/tests/soak/soak_run.h
+++ b/tests/soak/soak_run.h
@@ -29,10 +29,13 @@
         std::size_t shards = 6;
         unsigned requestsPerSecond = 60;
         bool move = false; ///< Moves the order service to another version while faults are injected.
+        std::chrono::milliseconds copyAge{0}; ///< Age of the copy from which the store answers calls that allow stale data.
     };
 
     explicit soak_run(const options &settings);
 
+    /** Copies the logs of the nodes into @p folder, which is created if it doesn't exist. */
+    void copyLogs(const std::string &folder) const { m_site.copyLogs(folder); }
     /** Injects faults, then checks recovery without faults. Returns all violated guarantees, each with the seconds since the start of the run. */
     std::vector<std::string> run();
     /** Returns one line with the number of requests, the length of faultLog(), and the number of answers with each status. */
--- a/tests/soak/test_soak.cpp
+++ b/tests/soak/test_soak.cpp
@@ -12,6 +12,7 @@
 {
     unsigned seed;
     bool move;
+    std::chrono::milliseconds copyAge; ///< Age of the store's copy.
     const char *cause; ///< Cause of the earlier failure of this seed, if any.
 };
 
@@ -21,12 +22,13 @@
 }
 
 const soak_case SOAK_CASES[] = {
-    {1, false, "never failed"},
-    {2, false, "never failed"},
-    {13, false, "a watch's answer was lost with its connection left open, and the node kept the old configuration for up to 25 s"},
-    {30, false, "as 13, at the first node"},
-    {5, true, "never failed"},
-    {6, true, "never failed"},
+    {1, false, {}, "never failed"},
+    {2, false, {}, "never failed"},
+    {13, false, {}, "a watch's answer was lost with its connection left open, and the node kept the old configuration for up to 25 s"},
+    {30, false, {}, "as 13, at the first node"},
+    {5, true, {}, "never failed"},
+    {6, true, {}, "never failed"},
+    {7, true, std::chrono::milliseconds(2500), "never failed"},
 };
 
 } // namespace
@@ -39,6 +41,7 @@
     soak_run::options options;
     options.seed = row.seed;
     options.move = row.move;
+    options.copyAge = row.copyAge;
     options.faultDuration = std::chrono::seconds(6);
     soak_run soak(options);
     for (const std::string &what : soak.run()) {
--- a/tests/stand_ins/site_emulator.cpp
+++ b/tests/stand_ins/site_emulator.cpp
@@ -5,9 +5,11 @@
 #include <sstream>
 
 #include <boost/asio/post.hpp>
+#include <fcntl.h>
 #include <fmt/format.h>
 #include <stdlib.h>
 #include <sys/stat.h>
+#include <unistd.h>
 
 #include "core/invariant.h"
 #include "tests/stand_ins/free_port.h"
@@ -169,10 +171,16 @@
     SNIPEFALL_INVARIANT(mkfifo(fifo.c_str(), 0600) == 0, "a test can't create a FIFO");
     std::filesystem::rename(fifo, path);
     launchNode(name);
-    std::ofstream settings(path);
+    // Opening succeeds once the node reads.
+    int descriptor = -1;
+    SNIPEFALL_INVARIANT(waitFor([&] { return (descriptor = open(path.c_str(), O_WRONLY | O_NONBLOCK)) >= 0; }), "the node doesn't open its settings file");
     std::filesystem::rename(regular, path);
     whileStarting();
+    std::ostringstream settings;
     settings << std::ifstream(path).rdbuf();
+    const std::string text = settings.str();
+    SNIPEFALL_INVARIANT(write(descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size()), "a test can't write to a FIFO");
+    close(descriptor);
 }
 
 void site_emulator::prepareNode(const std::string &name, const std::string &domain)
@@ -228,6 +236,14 @@
     return false;
 }
 
+void site_emulator::copyLogs(const std::string &folder) const
+{
+    std::filesystem::create_directories(folder);
+    for (const auto &[name, state] : m_nodes) {
+        std::filesystem::copy_file(pathOf(name, ".log"), folder + "/" + name + ".log", std::filesystem::copy_options::overwrite_existing);
+    }
+}
+
 bool site_emulator::waitReady(const std::string &name)
 {
     return waitFor([&] {
--- a/tests/stand_ins/site_emulator.h
+++ b/tests/stand_ins/site_emulator.h
@@ -74,6 +74,8 @@
     child_process &node(const std::string &name) { return *m_nodes.at(name).process; }
     const node_addresses &addresses(const std::string &name) const { return m_nodes.at(name).addresses; }
     std::string logOf(const std::string &name) const;
+    /** Copies the logs of all nodes into @p folder, which is created if it doesn't exist. */
+    void copyLogs(const std::string &folder) const;
     /** Writes the settings file of the node with @p retrySlack as its bound retry_slack. */
     void writeSettingsFile(const std::string &name, unsigned retrySlack) const;
     /** Waits until the readiness endpoint of the node answers 200. Returns false on a time-out. */
--- a/tier/store_sync_controller.cpp
+++ b/tier/store_sync_controller.cpp
@@ -167,7 +167,7 @@
             if (other == kind) {
                 continue;
             }
-            if (m_freshness.readAt(other, storeRevision)) {
+            if (m_freshness.wasReadAt(other, storeRevision)) {
                 m_freshness.noteRead(other, begun, storeRevision);
             } else {
                 watcher(other).verify();
--- a/tier/store_sync_controller.h
+++ b/tier/store_sync_controller.h
@@ -51,10 +51,10 @@
     void onConfiguration(std::function<void(const site_configuration &)> handler) { m_onConfiguration = std::move(handler); }
 
 private:
-    using kinds_watchers = std::array<object_watcher *, STORE_KINDS.size()>;
+    using watcher_list = std::array<object_watcher *, STORE_KINDS.size()>;
 
     /** In the order of STORE_KINDS. */
-    kinds_watchers watchers() { return {&m_configuration, &m_backends, &m_domains, &m_moves}; }
+    watcher_list watchers() { return {&m_configuration, &m_backends, &m_domains, &m_moves}; }
     object_watcher &watcher(store_kind kind) { return *watchers()[static_cast<std::size_t>(kind)]; }
     std::function<void(bool)> reachabilityHandler(store_kind kind);
     std::function<void(time_point, object_version)> readHandler(store_kind kind);
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -19,8 +19,8 @@
 /** For this time after its start a node counts all registered nodes as live, because it may not have found all of its peers yet. */
 constexpr duration JOIN_PERIOD = std::chrono::seconds(10);
 /** A starting node waits this long for listen addresses that it can't use, for example because its predecessor hasn't ended yet. */
-constexpr duration LISTEN_PATIENCE = std::chrono::seconds(5);
-constexpr duration LISTEN_PAUSE = std::chrono::milliseconds(20);
+constexpr duration LISTEN_RETRY_TIME = std::chrono::seconds(5);
+constexpr duration LISTEN_RETRY_INTERVAL = std::chrono::milliseconds(20);
 /** A stopping node stops accepting connections this long before the grace time ends. Until then, callers may still use its address from the directory. */
 constexpr duration ACCEPT_CUTOFF_BEFORE_KILL = std::chrono::milliseconds(900);
 /** A stopping node answers all requests that are still running this long before the grace time ends, and then exits. */
@@ -104,7 +104,7 @@
 void tier_process::start()
 {
     if (auto problem = listen()) {
-        if (now() - m_startedAt >= LISTEN_PATIENCE) {
+        if (now() - m_startedAt >= LISTEN_RETRY_TIME) {
             m_startProblem = std::move(problem);
             m_loop.stop();
             return;
@@ -112,7 +112,7 @@
         if (!std::exchange(m_listenFailed, true)) {
             logWarning("address.not_usable", {{"reason", *problem}});
         }
-        scheduleAfter(m_startTimer, LISTEN_PAUSE, &tier_process::start);
+        scheduleAfter(m_startTimer, LISTEN_RETRY_INTERVAL, &tier_process::start);
         return;
     }
     m_started = true;
