--- a/policy/freshness_monitor.cpp
+++ b/policy/freshness_monitor.cpp
@@ -74,7 +74,7 @@
     return true;
 }
 
-freshness_monitor::catch_up freshness_monitor::compare(store_kind kind, const known_objects &known, time_point now)
+catch_up freshness_monitor::compare(store_kind kind, const known_objects &known, time_point now)
 {
     std::optional<peer_claim> &claim = m_claims[index(kind)];
     if (!claim) {
--- a/policy/freshness_monitor.h
+++ b/policy/freshness_monitor.h
@@ -6,8 +6,10 @@
 
 #include "core/clock.h"
 #include "core/ids.h"
+#include "policy/catch_up.h"
 #include "policy/fresh_read.h"
 #include "policy/known_objects.h"
+#include "policy/peer_claim.h"
 #include "policy/store_kind.h"
 
 namespace snipefall {
@@ -22,14 +24,6 @@
 class freshness_monitor
 {
 public:
-    /** What a node that is behind a peer's read has to do about one kind. */
-    enum class catch_up
-    {
-        none,
-        watch_newest, ///< Watch again, without allowing an old copy to answer.
-        list,
-    };
-
     freshness_monitor(time_point start, std::uint64_t seed);
 
     /** Sets how old the knowledge may become: the tightest time limit for applying a change of the store. */
@@ -63,15 +57,6 @@
     duration bound() const { return m_bound; }
 
 private:
-    /** What the newest read of a peer says of one kind, and what this node has done since it found itself behind. */
-    struct peer_claim
-    {
-        kind_version version;
-        time_point asOf;
-        std::optional<time_point> lastStepAt; ///< Of the last step to catch up, or when the node fell behind; nothing if it isn't behind.
-        catch_up lastStep = catch_up::none;
-    };
-
     struct last_read
     {
         std::uint64_t sequence = 0;
--- a/tests/policy/freshness_simulation.cpp
+++ b/tests/policy/freshness_simulation.cpp
@@ -92,7 +92,7 @@
         node &reader = m_nodes[i];
         deliverChange(i);
         for (const store_kind kind : STORE_KINDS) {
-            if (reader.monitor.compare(kind, reader.known[indexOf(kind)], m_now) != freshness_monitor::catch_up::none) {
+            if (reader.monitor.compare(kind, reader.known[indexOf(kind)], m_now) != catch_up::none) {
                 read(reader, kind);
             }
         }
--- a/tests/stand_ins/site_emulator.cpp
+++ b/tests/stand_ins/site_emulator.cpp
@@ -240,7 +240,7 @@
 {
     std::filesystem::create_directories(folder);
     for (const auto &[name, state] : m_nodes) {
-        std::filesystem::copy_file(pathOf(name, ".log"), folder + "/" + name + ".log", std::filesystem::copy_options::overwrite_existing);
+        std::filesystem::copy_file(pathOf(name, ".log"), std::filesystem::path(folder) / (name + ".log"), std::filesystem::copy_options::overwrite_existing);
     }
 }
 
--- a/tier/store_sync_controller.cpp
+++ b/tier/store_sync_controller.cpp
@@ -208,14 +208,14 @@
 {
     for (const store_kind kind : STORE_KINDS) {
         const auto step = m_freshness.compare(kind, watcher(kind).known(), now());
-        if (step == freshness_monitor::catch_up::none) {
+        if (step == catch_up::none) {
             continue;
         }
         logInfo("store.peer_ahead",
                 {{"kind", toString(kind)},
                  {"own_revision", std::to_string(watcher(kind).known().completeTo().value())},
                  {"age_ms", std::to_string(m_freshness.age(kind, now()).count() / 1000)}});
-        if (step == freshness_monitor::catch_up::watch_newest) {
+        if (step == catch_up::watch_newest) {
             watcher(kind).watchNewest();
         } else {
             watcher(kind).verify();
