Share test code that the change had written again

Two tests of watchers in a store outage built the same four watchers; they use one fixture. freeAddress() stood in four files; it is beside freePort(). The emulated store kept its history next to a log that contains it. The assertions are as before; the comment in oneWatcherRetriesDuringStoreOutage now says that the watchers take turns.

--- a/tests/node/test_site.cpp
+++ b/tests/node/test_site.cpp
@@ -25,11 +25,6 @@
 constexpr std::chrono::seconds WAIT_LIMIT{60};
 constexpr std::chrono::milliseconds WAIT_STEP{20};
 
-std::string freeAddress()
-{
-    return fmt::format("127.0.0.1:{}", freePort());
-}
-
 } // namespace
 
 test_site::test_site()
--- a/tests/node/test_start_failures.cpp
+++ b/tests/node/test_start_failures.cpp
@@ -55,11 +55,6 @@
     return text;
 }
 
-std::string freeAddress()
-{
-    return "127.0.0.1:" + std::to_string(freePort());
-}
-
 struct start_files
 {
     start_files()
--- a/tests/stand_ins/free_port.cpp
+++ b/tests/stand_ins/free_port.cpp
@@ -43,4 +43,9 @@
     return 0;
 }
 
+std::string freeAddress()
+{
+    return "127.0.0.1:" + std::to_string(freePort());
+}
+
 } // namespace snipefall
--- a/tests/stand_ins/site_emulator.cpp
+++ b/tests/stand_ins/site_emulator.cpp
@@ -23,17 +23,19 @@
 /** Time from the crash of a backend server until it listens again. */
 constexpr std::chrono::milliseconds CRASH_DOWNTIME(400);
 
-std::string freeAddress()
-{
-    return "127.0.0.1:" + std::to_string(freePort());
-}
-
 std::string createTemporaryFolder()
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "snipefall-site-XXXXXX").string();
     return mkdtemp(pattern.data());
 }
 
+std::string readFile(const std::string &path)
+{
+    std::ostringstream text;
+    text << std::ifstream(path).rdbuf();
+    return text.str();
+}
+
 } // namespace
 
 site_emulator::site_emulator(options settings)
@@ -176,9 +178,7 @@
     SNIPEFALL_INVARIANT(waitFor([&] { return (descriptor = open(path.c_str(), O_WRONLY | O_NONBLOCK)) >= 0; }), "the node doesn't open its settings file");
     std::filesystem::rename(regular, path);
     whileStarting();
-    std::ostringstream settings;
-    settings << std::ifstream(path).rdbuf();
-    const std::string text = settings.str();
+    const std::string text = readFile(path);
     SNIPEFALL_INVARIANT(write(descriptor, text.data(), text.size()) == static_cast<ssize_t>(text.size()), "a test can't write to a FIFO");
     close(descriptor);
 }
@@ -219,9 +219,7 @@
 
 std::string site_emulator::logOf(const std::string &name) const
 {
-    std::ostringstream text;
-    text << std::ifstream(pathOf(name, ".log")).rdbuf();
-    return text.str();
+    return readFile(pathOf(name, ".log"));
 }
 
 bool site_emulator::waitFor(const std::function<bool()> &condition)
--- a/tests/stand_ins/site_store.cpp
+++ b/tests/stand_ins/site_store.cpp
@@ -150,7 +150,6 @@
 
 void site_store::discardHistory()
 {
-    m_history.clear();
     m_compactedRevision = m_revision;
     for (const watch &waiting : m_watches) {
         waiting.exchange->respond(makeResponse(410, nullptr));
@@ -318,9 +317,7 @@
 
 void site_store::record(const std::string &kind, const json &object, bool deleted)
 {
-    const change recorded{m_revision, kind, {{"deleted", deleted}, {"object", object}}, clock::now()};
-    m_history.push_back(recorded);
-    m_log.push_back(recorded);
+    m_log.push_back({m_revision, kind, {{"deleted", deleted}, {"object", object}}, clock::now()});
     answerWatches();
 }
 
@@ -334,7 +331,7 @@
         return true;
     }
     json events = json::array();
-    for (const change &item : m_history) {
+    for (const change &item : m_log) {
         if (item.kind == waiting.kind && item.revision > waiting.revision && isVisible(item, waiting.staleAllowed)) {
             events.push_back(item.event);
         }
--- a/tests/stand_ins/site_store.h
+++ b/tests/stand_ins/site_store.h
@@ -100,8 +100,7 @@
     std::list<entrance> m_entrances; ///< Besides the main one.
     boost::asio::steady_timer m_timer;
     std::map<std::string, std::map<std::string, json>> m_objects;
-    std::list<change> m_history;
-    std::list<change> m_log; ///< All changes, which the store's copy applies late.
+    std::list<change> m_log; ///< All changes, also those that were discarded from the history of watches; the store's copy applies them late.
     std::list<watch> m_watches;
     std::list<std::shared_ptr<http_exchange>> m_unanswered;
     std::uint64_t m_revision = 100; ///< Of the last change.
--- a/tests/tier/test_start_signals.cpp
+++ b/tests/tier/test_start_signals.cpp
@@ -38,11 +38,6 @@
     {"a reload and a stop", {SIGHUP, SIGTERM}, true},
 };
 
-std::string freeAddress()
-{
-    return "127.0.0.1:" + std::to_string(freePort());
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(start_signals_tests)
--- a/tests/tier/test_tier.cpp
+++ b/tests/tier/test_tier.cpp
@@ -68,6 +68,41 @@
     {"a part of each", {30, 30, 20, false, milliseconds(0)}, {200, 500, 502, 503, 504}},
 };
 
+/** Four watchers that share a retry coordinator, in a store outage that each of them has noticed. */
+struct lost_watchers
+{
+    lost_watchers()
+    {
+        for (const char *kind : {"a", "b", "c", "d"}) {
+            store.put(kind, "object", {{"value", 1}});
+            object_watcher::handlers handlers{[this, kind](const object_listing &) { ++listings[kind]; },
+                                              [](const object_changes &) {},
+                                              [this, kind](bool reachable) { losses[kind] += reachable ? 0 : 1; }};
+            watchers.push_back(std::make_unique<object_watcher>(loop, client, retryCoordinator, kind, std::move(handlers)));
+            watchers.back()->start(read_freshness::newest);
+        }
+        runUntil([&] { return listings.size() == 4; });
+        store.setCondition(site_store::condition::refusing);
+        store.discardHistory();
+        runUntil([&] { return losses.size() == 4; });
+    }
+
+    void runUntil(const std::function<bool()> &condition)
+    {
+        while (!condition()) {
+            loop.run_one();
+        }
+    }
+
+    boost::asio::io_context loop;
+    site_store store{loop};
+    store_client client{loop, store.address()};
+    store_retry_coordinator retryCoordinator;
+    std::map<std::string, int> listings;
+    std::map<std::string, int> losses;
+    std::vector<std::unique_ptr<object_watcher>> watchers;
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(tier_tests)
@@ -341,38 +376,11 @@
 }
 
 // Guards against each object_watcher retrying by itself while the store is unreachable; every such call is charged and none is of use.
-BOOST_AUTO_TEST_CASE(oneWatcherRetriesDuringStoreOutage)
+BOOST_FIXTURE_TEST_CASE(oneWatcherRetriesDuringStoreOutage, lost_watchers)
 {
-    boost::asio::io_context loop;
-    site_store store(loop);
-    store.put("a", "object", {{"value", 1}});
-    store_client client(loop, store.address());
-    store_retry_coordinator retryCoordinator;
-    std::map<std::string, int> listings;
-    std::map<std::string, int> losses;
-    std::vector<std::unique_ptr<object_watcher>> watchers;
-    for (const char *kind : {"a", "b", "c", "d"}) {
-        watchers.push_back(std::make_unique<object_watcher>(loop,
-                                                            client,
-                                                            retryCoordinator,
-                                                            kind,
-                                                            object_watcher::handlers{[&listings, kind](const object_listing &) { ++listings[kind]; },
-                                                                                     [](const object_changes &) {},
-                                                                                     [&losses, kind](bool reachable) { losses[kind] += reachable ? 0 : 1; }}));
-        watchers.back()->start(read_freshness::newest);
-    }
-    const auto runUntil = [&](const std::function<bool()> &condition) {
-        while (!condition()) {
-            loop.run_one();
-        }
-    };
-    runUntil([&] { return listings.size() == 4; });
-    store.setCondition(site_store::condition::refusing);
-    store.discardHistory();
-    runUntil([&] { return losses.size() == 4; });
     const std::uint64_t before = client.calls();
     runUntil([&] { return client.calls() >= before + 4; });
-    // One watcher made all of these calls, with growing pauses; four would have made them within a few ms.
+    // The watchers took turns, with growing pauses; four that retry by themselves would have made these calls within a few ms.
     for (const auto &[kind, count] : listings) {
         BOOST_TEST(count == 1);
     }
@@ -383,35 +391,8 @@
 }
 
 // Guards against watchers that wait for one whose calls go on failing, although the store answers their own.
-BOOST_AUTO_TEST_CASE(failingKindDoesNotHoldBackOtherKinds)
+BOOST_FIXTURE_TEST_CASE(failingKindDoesNotHoldBackOtherKinds, lost_watchers)
 {
-    boost::asio::io_context loop;
-    site_store store(loop);
-    store_client client(loop, store.address());
-    store_retry_coordinator retryCoordinator;
-    std::map<std::string, int> listings;
-    std::map<std::string, int> losses;
-    std::vector<std::unique_ptr<object_watcher>> watchers;
-    for (const char *kind : {"a", "b", "c", "d"}) {
-        store.put(kind, "object", {{"value", 1}});
-        watchers.push_back(std::make_unique<object_watcher>(loop,
-                                                            client,
-                                                            retryCoordinator,
-                                                            kind,
-                                                            object_watcher::handlers{[&listings, kind](const object_listing &) { ++listings[kind]; },
-                                                                                     [](const object_changes &) {},
-                                                                                     [&losses, kind](bool reachable) { losses[kind] += reachable ? 0 : 1; }}));
-        watchers.back()->start(read_freshness::newest);
-    }
-    const auto runUntil = [&](const std::function<bool()> &condition) {
-        while (!condition()) {
-            loop.run_one();
-        }
-    };
-    runUntil([&] { return listings.size() == 4; });
-    store.setCondition(site_store::condition::refusing);
-    store.discardHistory();
-    runUntil([&] { return losses.size() == 4; });
     store.setCondition(site_store::condition::fault_free);
     store.refuseKind("a");
     const std::uint64_t before = client.calls();
