--- a/review/stand_ins_2/site2.py
+++ b/review/stand_ins_2/site2.py
@@ -435,11 +435,13 @@
     def __init__(self, node):
         self.node = node
         self.stream = None
+        self.headers, self.body = [], b""  # Of the last answer.
 
     async def ask(self, request, timeout=10.0):
         """Returns (status, whether the request went over a connection that had been used before). The status is 0 if the connection ended
         without a whole answer, and None if none could be opened or the time has passed."""
         kept = self.stream is not None
+        self.headers, self.body = [], b""
         try:
             async with asyncio.timeout(timeout):
                 if not kept:
@@ -455,7 +457,8 @@
                 if head is None:
                     self.close()
                     return 0, kept
-                await read_body(reader, head[1])
+                self.body = await read_body(reader, head[1])
+                self.headers = head[1]
                 if header(head[1], "connection") == "close":
                     self.close()
                 return int(head[0].split(" ")[1]), kept
