--- a/review/stand_ins_2/site2.py
+++ b/review/stand_ins_2/site2.py
@@ -82,7 +82,7 @@
         self.revision = 100
         self.log = []
         self.changed = asyncio.Event()
-        self.before_answer = None  # Optional coroutine function (method, kind, query), awaited before each call is served.
+        self.refuses = False  # While it is set, each call gets 503 and changes nothing.
 
     async def start(self, ip, port):
         self.address = f"{ip}:{port}"
@@ -103,11 +103,20 @@
             gone["meta"]["revision"] = self.revision
             self.note(kind, gone, True)
 
-    def note(self, kind, value, deleted):
-        self.log.append((self.revision, kind, {"object": json.loads(json.dumps(value)), "deleted": deleted}))
+    def refuse(self, refuses):
+        """Begins or ends a time in which the store refuses all calls of nodes; watches that wait are refused as well."""
+        self.record("the store", "refuses all calls" if refuses else "serves again")
+        self.refuses = refuses
+        self.wake()
+
+    def wake(self):
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def note(self, kind, value, deleted):
+        self.log.append((self.revision, kind, {"object": json.loads(json.dumps(value)), "deleted": deleted}))
+        self.wake()
+
     async def serve(self, reader, writer):
         try:
             while (head := await read_head(reader)) is not None:
@@ -116,9 +125,7 @@
                 parts = urllib.parse.urlsplit(target)
                 path = [urllib.parse.unquote(part) for part in parts.path.split("/")[3:]]
                 query = dict(urllib.parse.parse_qsl(parts.query))
-                if self.before_answer:
-                    await self.before_answer(method, path[0], query)
-                status, answer = await self.call(method, path, query, json.loads(body) if body else {})
+                status, answer = (503, {}) if self.refuses else await self.call(method, path, query, json.loads(body) if body else {})
                 writer.write(message(status, json.dumps(answer).encode(), [("Content-Type", "application/json")]))
                 await writer.drain()
         except (ConnectionError, OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
@@ -163,6 +170,8 @@
     async def watch(self, kind, since, wait):
         end = time.monotonic() + wait
         while True:
+            if self.refuses:
+                return 503, {}
             events = [event for revision, of, event in self.log if of == kind and revision > since]
             left = end - time.monotonic()
             if events or left <= 0:
