--- a/review/6/case.py
+++ b/review/6/case.py
@@ -70,7 +70,7 @@
         connection.close()
 
     await asyncio.gather(*(client(node) for node in site.nodes for _ in range(CLIENTS_PER_NODE)))
-    keeper.stop()
+    await keeper.stop()
     say(site.record, f"answers by status, 0 for a connection that closed, None for no connection: {answers}; spoiled answers: {faulty.spoiled}; "
                      f"lost requests: {lost}; ends of processes: {keeper.ends}; Fault: {'broken' if keeper.breaks_fault() else 'held'}")
     return 1 if max(lost.values()) > 3 else 0
--- a/review/stand_ins_2/site2.py
+++ b/review/stand_ins_2/site2.py
@@ -275,6 +275,7 @@
         self.store = Store(self.record)
         self.version = 1
         self.last_id = 0
+        self.stopped = False
         role = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]["query-tier"]
         self.command = role["run"].split()
 
@@ -367,6 +368,8 @@
             return None
 
     async def stop(self):
+        """Ends all processes that were started."""
+        self.stopped = True
         for node in self.nodes:
             if node.process and node.process.returncode is None:
                 node.process.send_signal(signal.SIGCONT)
@@ -382,12 +385,13 @@
 
     def __init__(self, site, memory_mb=None):
         self.site, self.memory_mb = site, memory_mb
+        self.stopping = False
         self.ends = {node.name: 0 for node in site.nodes}
         self.peaks = {node.name: 0 for node in site.nodes}
         self.tasks = [asyncio.create_task(self.keep(node)) for node in site.nodes]
 
     async def keep(self, node):
-        while True:
+        while not (self.stopping or self.site.stopped):
             await asyncio.sleep(0.05)
             if node.process.returncode is None and self.memory_mb:
                 used = self.memory_of(node)
@@ -400,6 +404,8 @@
                 self.ends[node.name] += 1
                 self.site.record("ended", node.name, "with", node.process.returncode)
                 await asyncio.sleep(self.RESTART_S)
+                if self.site.stopped:
+                    return
                 await self.site.start_node(node.name, None, None, first=False)
 
     @staticmethod
@@ -411,9 +417,10 @@
         except OSError:
             return 0
 
-    def stop(self):
-        for task in self.tasks:
-            task.cancel()
+    async def stop(self):
+        """Waits until no process is being started any more, so that all of them are known and can be ended."""
+        self.stopping = True
+        await asyncio.gather(*self.tasks)
 
     def breaks_fault(self):
         """The rule: on a tenth of the machines, two at least, processes have ended by themselves three times."""
