Refuse field lines that the HTTP parser can't store, in place of ending the process

Seen: a header or trailer field line above 65,533 bytes, which a client can send where max_header_bytes allows it and a backend server in its trailers, ended the process that read it, and with it all requests of its other callers.

Cause: Beast throws std::length_error for such a field, which nothing caught.

Change: the parsers of both sides report it as an error of the header: 431 for a client, a malformed response of a server.

--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -10,6 +10,7 @@
 
 #include "http/final_status.h"
 #include "http/memory_charge.h"
+#include "http/message_parsing.h"
 
 namespace snipefall {
 
@@ -186,7 +187,7 @@
             m_parser->skip(m_call.headRequest);
         }
         boost::system::error_code error;
-        const std::size_t used = m_parser->put(m_buffer.data(), error);
+        const std::size_t used = putBytes(*m_parser, m_buffer.data(), error);
         m_buffer.consume(used);
         if (error && error != beast::http::error::need_more) {
             finish(client_result::kind::malformed, false);
--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/buffer.hpp>
 
 #include "http/http_exchange.h"
+#include "http/message_parsing.h"
 
 namespace snipefall {
 
@@ -117,7 +118,7 @@
     boost::system::error_code error;
     // put() may return after a part of the message, for example after one chunk, so it is called until it consumes no more bytes.
     while (!m_parser->is_done() && m_buffer.size() > 0) {
-        const std::size_t used = m_parser->put(m_buffer.data(), error);
+        const std::size_t used = putBytes(*m_parser, m_buffer.data(), error);
         m_buffer.consume(used);
         if (error || used == 0) {
             break;
--- a/tests/http/test_async_http_client.cpp
+++ b/tests/http/test_async_http_client.cpp
@@ -132,6 +132,15 @@
     BOOST_TEST(server.endlessBytes() < MAX_BYTES);
 }
 
+// Guards against a process that a trailer line too long for the parser ends.
+BOOST_AUTO_TEST_CASE(tooLongTrailerLinesAreMalformed)
+{
+    const std::string response = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX-Filler: " + std::string(65560, 'a') + "\r\n\r\n";
+    scripted_server server({{response, end::keep}});
+    client_fixture fixture;
+    BOOST_TEST((fixture.call(server.address()).outcome == kind::malformed));
+}
+
 // Guards against a transparent resend after a reused connection closes, which could execute a request twice without the caller's knowledge.
 BOOST_AUTO_TEST_CASE(lostRequestsAreNotResent)
 {
--- a/tests/platform/test_caller_messages.cpp
+++ b/tests/platform/test_caller_messages.cpp
@@ -190,6 +190,13 @@
     BOOST_TEST(answer.body() == "records");
 }
 
+// Guards against a process that signatures too long for one header field end.
+BOOST_AUTO_TEST_CASE(queryAnswersWithTooLongSignaturesFail)
+{
+    const std::vector<std::string> signatures(20, std::string(3400, 's'));
+    BOOST_TEST(queryAnswer(request_id("r1"), signatures, 0, "records").result_int() == 502U);
+}
+
 BOOST_AUTO_TEST_CASE(refusalsCarryRetryAfter)
 {
     const http_response_message answer = nodeAnswer(503, request_id("r1"), "no_server", std::chrono::milliseconds(125));
