End a call that gets more than 16 responses to earlier requests

Seen: a server that sends late responses without an end was read until the deadline of the call; how much that was depended on the machine, 71 million bytes once against the test's bound of 67 million.

Cause: interim responses were counted, late ones were not.

Change: they have the same limit, and the call fails as malformed.

--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -27,6 +27,8 @@
 constexpr int KEEPALIVE_PROBES = 2;
 /** More interim responses to one request are taken for a failure of the server, which could send them without an end. */
 constexpr unsigned MAX_INTERIM_RESPONSES = 16;
+/** The same holds for responses to earlier requests; a connection carries one request at a time, so that more than a few belong to none. */
+constexpr unsigned MAX_LATE_RESPONSES = 16;
 
 /** The timeout in a Keep-Alive header such as "timeout=5, max=100", or nothing if it has none. */
 std::optional<std::chrono::seconds> keepAliveTimeout(beast::string_view header)
@@ -64,6 +66,7 @@
     m_result.memory->set(m_call.bytes.size());
     m_parser.reset();
     m_interimResponses = 0;
+    m_lateResponses = 0;
     if (m_connected) {
         armTimer(m_call.deadline);
         send();
@@ -207,7 +210,12 @@
                 continue;
             }
             if (m_call.acceptsResponse && !m_call.acceptsResponse(response)) {
-                continue; // This is a late response to an earlier request; the response to the current one may follow.
+                // This is a late response to an earlier request; the response to the current one may follow.
+                if (++m_lateResponses > MAX_LATE_RESPONSES) {
+                    finish(client_result::kind::malformed, false);
+                    return;
+                }
+                continue;
             }
             m_result.response = std::move(response);
             // A server may respond before it has read the whole request. The connection isn't reused then, because the next request would follow the unsent
--- a/http/client_connection.h
+++ b/http/client_connection.h
@@ -69,6 +69,7 @@
     steady_time m_reusableUntil;
     steady_time m_idleSince;
     unsigned m_interimResponses = 0; ///< Interim responses to the running call.
+    unsigned m_lateResponses = 0; ///< Responses to earlier requests that came during the running call.
     bool m_connected = false;
     bool m_readWaitPending = false; ///< A wait for readable bytes is pending.
     bool m_waitingForMemory = false;
