Free what a client's connection holds when it is closed

Seen: 200 clients that send bodies without their end took a node of 64 MB to some 210 MB. They were closed for want of memory in time, and came back.

Cause: close() ended the charge, but the parser with the body, the buffer and the response lived on until the server's next check dropped the connection, half a second later. The account was empty while the process was not.

Change: close() frees them, and the charge follows what is held. Only a response whose write is still pending stays, charged, until that write has ended.

--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -91,9 +91,6 @@
 
 void server_connection::chargeMemory()
 {
-    if (!m_open) {
-        return;
-    }
     if (m_buffer.size() == 0) {
         m_buffer.shrink_to_fit();
     }
@@ -227,7 +224,7 @@
 {
     m_serializer.reset();
     m_response = http_response_message();
-    m_memory.set(0);
+    chargeMemory();
     if (!m_open) {
         return;
     }
@@ -302,7 +299,13 @@
         return;
     }
     m_open = false;
-    m_memory.set(0);
+    // The server drops its closed connections only at its next check. The response of a write that is still pending is freed when that ends.
+    m_parser.reset();
+    m_buffer = {};
+    if (!m_serializer) {
+        m_response = {};
+    }
+    chargeMemory();
     boost::system::error_code ignored; // The connection is discarded even if shutdown or close fails.
     m_socket.shutdown(boost::asio::ip::tcp::socket::shutdown_both, ignored);
     m_socket.close(ignored);
