Complete long messages one after the other while memory is short

Cause: above three quarters of the account's limit one call was to read at a time, but it gave up its turn after each 8 KB, so that all calls read in turn, at any amount of memory. Bodies of clients never waited. The kernel's receive buffers, which the platform counts as memory of the process, could grow to megabytes for a connection that isn't read.

Change: policy/connections/growth_turns decides. A holder keeps its turn until it has ended, or has grown by less than 4 KB in 250 ms, and all others together never hold more than the limit. Holders of less than 16 KB don't wait, so that ordinary requests and answers pass. Bodies of clients follow the same rule; a client that is made to wait doesn't count as stalled, one that moves less than 4 KB in a second does. Receive buffers have 32 KB, and what the kernel holds for a client that isn't read is charged. 16 KB in place of 64 KB are read ahead.

--- a/http/async_http_server.cpp
+++ b/http/async_http_server.cpp
@@ -4,6 +4,7 @@
 
 #include "http/endpoint_text.h"
 #include "http/memory_account.h"
+#include "http/receive_buffer.h"
 #include "policy/connections/connection_shedding.h"
 
 namespace snipefall {
@@ -45,6 +46,10 @@
     if (!error) {
         m_acceptor.set_option(boost::asio::socket_base::reuse_address(true), error);
     }
+    if (!error) {
+        // Accepted connections inherit the size.
+        m_acceptor.set_option(boost::asio::socket_base::receive_buffer_size(RECEIVE_BUFFER_BYTES), error);
+    }
     if (!error) {
         m_acceptor.bind(*endpoint, error);
     }
--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -11,6 +11,7 @@
 #include "http/final_status.h"
 #include "http/memory_charge.h"
 #include "http/message_parsing.h"
+#include "http/receive_buffer.h"
 
 namespace snipefall {
 
@@ -78,6 +79,9 @@
 void client_connection::connect()
 {
     armTimer(std::min(m_call.deadline, std::chrono::steady_clock::now() + m_options.connectTimeout));
+    boost::system::error_code failed; // The connect reports a socket that can't be opened.
+    m_socket.open(m_server.protocol(), failed);
+    m_socket.set_option(boost::asio::socket_base::receive_buffer_size(RECEIVE_BUFFER_BYTES), failed);
     m_socket.async_connect(m_server, [self = shared_from_this()](const boost::system::error_code &error) {
         if (self->m_closed) {
             return;
@@ -156,9 +160,6 @@
     boost::system::error_code error;
     const std::size_t count = m_socket.read_some(m_buffer.prepare(READ_BYTES), error);
     if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
-        if (m_handler) {
-            m_result.memory->stopGrowing();
-        }
         waitForBytes();
         return;
     }
@@ -173,9 +174,6 @@
     }
     parse();
     if (!m_closed) {
-        if (m_handler) {
-            m_result.memory->stopGrowing();
-        }
         waitForBytes();
     }
 }
@@ -196,7 +194,7 @@
             finish(client_result::kind::malformed, false);
             return;
         }
-        m_result.memory->set(m_call.bytes.size() + m_buffer.size() + m_parser->get().body().size());
+        m_result.memory->set(m_call.bytes.size() + m_buffer.capacity() + m_parser->get().body().size());
         const bool hasOversizedTrailer = m_parser->is_header_done() && !m_parser->is_done() && m_buffer.size() > m_options.maxTrailerBytes;
         if (hasOversizedTrailer || (m_parser->is_header_done() && !acceptsStatus(m_parser->get().result_int()))) {
             finish(client_result::kind::malformed, false);
@@ -265,6 +263,10 @@
     m_handler = nullptr;
     m_result.memory->set(m_result.response.body().size());
     m_result.memory->stopGrowing();
+    m_parser.reset();
+    if (m_buffer.size() == 0) {
+        m_buffer.shrink_to_fit();
+    }
     if (!m_writing) {
         m_call.bytes = std::string();
     }
--- a/http/memory_account.h
+++ b/http/memory_account.h
@@ -1,17 +1,17 @@
 #pragma once
 
 #include <cstddef>
-#include <cstdint>
 #include <functional>
 #include <limits>
-#include <set>
+
+#include "policy/connections/growth_turns.h"
 
 namespace snipefall {
 
 /**
  * The memory that the connections of a process hold for their peers: what was read and not handled yet, and what was not sent yet.
  *
- * It is charged through objects of memory_charge. When it runs short, connections that read from servers wait, one of them excepted, so that it can be
+ * It is charged through objects of memory_charge. When it runs short, holders of more than a small message wait, one of them excepted, so that it can be
  * completed; the handler decides which connections of clients are closed.
  */
 class memory_account
@@ -33,8 +33,8 @@
 
     std::size_t m_limit = std::numeric_limits<std::size_t>::max();
     std::size_t m_used = 0;
-    std::uint64_t m_lastNumber = 0;
-    std::set<std::uint64_t> m_waiting; ///< Numbers of the charges that were not allowed to grow.
+    growth_turns::holder m_lastNumber = 0;
+    growth_turns m_turns; ///< Knows the charges by their numbers.
     std::function<void()> m_onShort;
 };
 
--- a/http/memory_charge.cpp
+++ b/http/memory_charge.cpp
@@ -31,18 +31,13 @@
 void memory_charge::stopGrowing()
 {
     if (m_account) {
-        m_account->m_waiting.erase(m_number);
+        m_account->m_turns.leave(m_number);
     }
 }
 
 bool memory_charge::mayGrow()
 {
-    if (!m_account || !m_account->isNearlyShort()) {
-        stopGrowing();
-        return true;
-    }
-    m_account->m_waiting.insert(m_number);
-    return *m_account->m_waiting.begin() == m_number;
+    return !m_account || m_account->m_turns.mayGrow(m_number, m_bytes, m_account->used(), m_account->limit(), std::chrono::steady_clock::now());
 }
 
 } // namespace snipefall
--- a/http/memory_charge.h
+++ b/http/memory_charge.h
@@ -19,15 +19,15 @@
 
     void set(std::size_t bytes);
     std::size_t bytes() const { return m_bytes; }
-    /** Whether the holder may take in more. While the account is nearly short, only the earliest of the holders that ask may. */
+    /** Whether the holder may take in more now; see growth_turns. A holder that may not asks again a little later, until it calls stopGrowing(). */
     bool mayGrow();
-    /** Notes that the holder takes in no more, so that another one may. */
+    /** Notes that the holder takes in no more for now, so that another one may. */
     void stopGrowing();
 
 private:
     std::shared_ptr<memory_account> m_account;
     std::size_t m_bytes = 0;
-    std::uint64_t m_number = 0; ///< Orders the charges of an account by their creation.
+    std::uint64_t m_number = 0; ///< Identifies the charge in its account.
 };
 
 } // namespace snipefall
--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -6,6 +6,7 @@
 
 #include "http/http_exchange.h"
 #include "http/message_parsing.h"
+#include "http/receive_buffer.h"
 
 namespace snipefall {
 
@@ -15,7 +16,11 @@
 
 constexpr std::size_t READ_BYTES = 8192;
 /** Limit of the bytes of pipelined requests that are buffered while a request is handled; further ones stay in the socket's receive buffer. */
-constexpr std::size_t MAX_READ_AHEAD_BYTES = 65536;
+constexpr std::size_t MAX_READ_AHEAD_BYTES = 16384;
+/** Pause before more of a request is read while the process is short of memory. */
+constexpr std::chrono::milliseconds MEMORY_WAIT(10);
+/** A client that moves fewer bytes than this in a second counts as stalled. */
+constexpr std::size_t FAIR_TRANSFER_BYTES = 4096;
 
 /** Memory for a header field besides its bytes, by which many short fields exceed the size of the header. */
 constexpr std::size_t FIELD_BYTES = 96;
@@ -37,6 +42,7 @@
                                      std::shared_ptr<memory_account> memory,
                                      handler handleRequest)
     : m_socket(std::move(socket))
+    , m_memoryTimer(m_socket.get_executor())
     , m_limits(std::move(limits))
     , m_handler(std::move(handleRequest))
     , m_memory(std::move(memory))
@@ -68,8 +74,37 @@
     });
 }
 
+void server_connection::waitForMemory()
+{
+    m_waitingForMemory = true;
+    m_memoryTimer.expires_after(MEMORY_WAIT);
+    m_memoryTimer.async_wait([self = shared_from_this()](const boost::system::error_code &cancelled) {
+        self->m_waitingForMemory = false;
+        if (!cancelled && self->m_open) {
+            self->waitForBytes();
+        }
+    });
+}
+
+void server_connection::noteTransfer(std::size_t bytes)
+{
+    m_bytesSinceTransfer += bytes;
+    if (m_bytesSinceTransfer >= FAIR_TRANSFER_BYTES) {
+        m_bytesSinceTransfer = 0;
+        m_lastTransfer = std::chrono::steady_clock::now();
+    }
+}
+
 void server_connection::readBytes()
 {
+    // A request that is handled already is not held up by what follows it.
+    if (m_state == state::reading && !m_memory.mayGrow()) {
+        // The kernel keeps what arrives meanwhile; the client is not to blame for the pause.
+        m_lastTransfer = std::chrono::steady_clock::now();
+        waitForMemory();
+        chargeMemory();
+        return;
+    }
     boost::system::error_code error;
     const std::size_t count = m_socket.read_some(m_buffer.prepare(READ_BYTES), error);
     if (error == boost::asio::error::would_block || error == boost::asio::error::try_again) {
@@ -81,7 +116,7 @@
         return;
     }
     m_buffer.commit(count);
-    m_lastTransfer = std::chrono::steady_clock::now();
+    noteTransfer(count);
     if (m_state == state::reading) {
         parse();
     }
@@ -94,8 +129,10 @@
     if (m_buffer.size() == 0) {
         m_buffer.shrink_to_fit();
     }
-    m_memory.set(m_buffer.capacity() + (m_parser ? bytesOf(m_parser->get()) : 0) + (m_exchange ? bytesOf(m_exchange->request()) : 0)
-                 + m_response.body().size());
+    // What the kernel holds is charged while it isn't read.
+    const bool isPaused = m_waitingForMemory || (isBusy() && m_buffer.size() >= MAX_READ_AHEAD_BYTES);
+    m_memory.set((isPaused ? RECEIVE_BUFFER_BYTES : 0) + m_buffer.capacity() + (m_parser ? bytesOf(m_parser->get()) : 0)
+                 + (m_exchange ? bytesOf(m_exchange->request()) : 0) + m_response.body().size());
 }
 
 void server_connection::parse()
@@ -109,6 +146,7 @@
         m_parser->body_limit(m_limits->bodyBytes);
         m_parser->eager(true);
         m_lastProgress = std::chrono::steady_clock::now();
+        m_lastTransfer = m_lastProgress;
         m_requestBegan = m_lastProgress;
     }
     const bool headerWasDone = m_parser->is_header_done();
@@ -160,6 +198,7 @@
 
 void server_connection::handleRequest()
 {
+    m_memory.stopGrowing();
     http_request_message request = m_parser->release();
     m_parser.reset();
     m_state = state::handling;
@@ -171,6 +210,7 @@
 
 void server_connection::reject(beast::http::status status)
 {
+    m_memory.stopGrowing();
     m_parser.reset();
     m_state = state::handling;
     m_closeAfterResponse = true;
@@ -210,8 +250,8 @@
 
 void server_connection::writeSome()
 {
-    beast::http::async_write_some(m_socket, *m_serializer, [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
-        self->m_lastTransfer = std::chrono::steady_clock::now();
+    beast::http::async_write_some(m_socket, *m_serializer, [self = shared_from_this()](const boost::system::error_code &error, std::size_t count) {
+        self->noteTransfer(count);
         if (!error && self->m_open && !self->m_serializer->is_done()) {
             self->writeSome();
         } else {
@@ -302,6 +342,8 @@
     // The server drops its closed connections only at its next check. The response of a write that is still pending is freed when that ends.
     m_parser.reset();
     m_buffer = {};
+    m_memoryTimer.cancel();
+    m_memory.stopGrowing();
     if (!m_serializer) {
         m_response = {};
     }
--- a/http/server_connection.h
+++ b/http/server_connection.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
@@ -57,7 +58,10 @@
     };
 
     void waitForBytes();
+    /** Waits until the process has memory for more bytes of the request. */
+    void waitForMemory();
     void readBytes();
+    void noteTransfer(std::size_t bytes);
     void parse();
     void chargeMemory();
     bool isIdle() const { return m_state == state::reading && !m_parser && m_buffer.size() == 0; }
@@ -70,6 +74,7 @@
     void close();
 
     boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_memoryTimer;
     std::shared_ptr<const async_server_limits> m_limits;
     handler m_handler;
     boost::beast::flat_buffer m_buffer;
@@ -81,9 +86,11 @@
     state m_state = state::reading;
     memory_charge m_memory;
     steady_time m_lastProgress; ///< Of the request or response as a whole; its meaning depends on the state.
-    steady_time m_lastTransfer; ///< When the client last sent or took bytes.
+    steady_time m_lastTransfer; ///< When the client last sent or took a fair number of bytes.
+    std::size_t m_bytesSinceTransfer = 0; ///< Bytes moved since then.
     steady_time m_requestBegan;
     bool m_readWaitPending = false; ///< A wait for readable bytes is pending.
+    bool m_waitingForMemory = false;
     bool m_headRequest = false;
     bool m_closeAfterResponse = false;
     bool m_open = true;
