Free a response's memory once it has been sent

Seen: 200 clients that ask for answers of 4 MB and don't read them took a node of 64 MB to 188 MB, while the account of its connections stood at 16 to 20 MB.

Cause: the connection assigned an empty message to the sent one. The move of an empty string keeps the memory of its target, so that each connection, also an idle or closed one, kept the longest body that it had sent, without a charge.

Change: the body is swapped away; so are the bytes of an ended call.

--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -268,7 +268,7 @@
         m_buffer.shrink_to_fit();
     }
     if (!m_writing) {
-        m_call.bytes = std::string();
+        std::string().swap(m_call.bytes); // An assignment would keep the memory.
     }
     if (outcome == client_result::kind::answered) {
         m_hasServedCall = true;
--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -227,7 +227,7 @@
     m_response.keep_alive(!m_closeAfterResponse);
     m_response.prepare_payload();
     if (m_headRequest) {
-        m_response.body().clear();
+        std::string().swap(m_response.body());
     }
     m_state = state::writing;
     m_lastProgress = std::chrono::steady_clock::now();
@@ -263,7 +263,7 @@
 void server_connection::handleWritten(const boost::system::error_code &error)
 {
     m_serializer.reset();
-    m_response = http_response_message();
+    dropResponse();
     chargeMemory();
     if (!m_open) {
         return;
@@ -279,6 +279,13 @@
     waitForBytes();
 }
 
+void server_connection::dropResponse()
+{
+    // An assignment of an empty body would keep the memory of the old one.
+    std::string().swap(m_response.body());
+    m_response = http_response_message();
+}
+
 void server_connection::handleClientDisconnect()
 {
     const std::shared_ptr<http_exchange> exchange = std::move(m_exchange);
@@ -345,7 +352,7 @@
     m_memoryTimer.cancel();
     m_memory.stopGrowing();
     if (!m_serializer) {
-        m_response = {};
+        dropResponse();
     }
     chargeMemory();
     boost::system::error_code ignored; // The connection is discarded even if shutdown or close fails.
--- a/http/server_connection.h
+++ b/http/server_connection.h
@@ -70,6 +70,7 @@
     void write();
     void writeSome();
     void handleWritten(const boost::system::error_code &error);
+    void dropResponse();
     void handleClientDisconnect();
     void close();
 
