Let the message with the shortest rest grow next while memory is short

Seen: while 200 clients pipelined requests for answers of 4 MB and read them slowly, no ordinary query was served within 60 s (502 too_few_answers): its parts of 512 KB waited for memory behind up to 200 longer answers, and were given up.

Cause: the turns followed the order in which the calls had asked.

Change: the holder whose message needs the fewest further bytes is next; an unknown length goes last. A holder that lost a turn since it hardly grew goes behind the others.

--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -153,7 +153,7 @@
 
 void client_connection::readBytes()
 {
-    if (m_handler && !m_result.memory->mayGrow()) {
+    if (m_handler && !m_result.memory->mayGrow(restOfBody(m_parser))) {
         waitForMemory();
         return;
     }
--- a/http/memory_charge.cpp
+++ b/http/memory_charge.cpp
@@ -35,9 +35,13 @@
     }
 }
 
-bool memory_charge::mayGrow()
+bool memory_charge::mayGrow(std::optional<std::uint64_t> restBytes)
 {
-    return !m_account || m_account->m_turns.mayGrow(m_number, m_bytes, m_account->used(), m_account->limit(), std::chrono::steady_clock::now());
+    if (!m_account) {
+        return true;
+    }
+    const growth_turns::need asked{m_bytes, static_cast<std::size_t>(restBytes.value_or(growth_turns::UNKNOWN_BYTES))};
+    return m_account->m_turns.mayGrow(m_number, asked, m_account->used(), m_account->limit(), std::chrono::steady_clock::now());
 }
 
 } // namespace snipefall
--- a/http/memory_charge.h
+++ b/http/memory_charge.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace snipefall {
 
@@ -19,8 +20,12 @@
 
     void set(std::size_t bytes);
     std::size_t bytes() const { return m_bytes; }
-    /** Whether the holder may take in more now; see growth_turns. A holder that may not asks again a little later, until it calls stopGrowing(). */
-    bool mayGrow();
+    /**
+     * Whether the holder may take in more now; see growth_turns. @p restBytes is what its message still needs; nothing if that isn't known.
+     *
+     * A holder that may not asks again a little later, until it calls stopGrowing().
+     */
+    bool mayGrow(std::optional<std::uint64_t> restBytes);
     /** Notes that the holder takes in no more for now, so that another one may. */
     void stopGrowing();
 
--- a/http/message_parsing.h
+++ b/http/message_parsing.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <stdexcept>
 
 #include <boost/beast/http/error.hpp>
@@ -23,4 +25,15 @@
     }
 }
 
+/** The bytes of its body that a message still needs; nothing if that isn't known. */
+template <typename Parser>
+std::optional<std::uint64_t> restOfBody(const std::optional<Parser> &parser)
+{
+    if (!parser || !parser->is_header_done()) {
+        return std::nullopt;
+    }
+    const auto rest = parser->content_length_remaining();
+    return rest ? std::optional<std::uint64_t>(*rest) : std::nullopt;
+}
+
 } // namespace snipefall
--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -98,7 +98,7 @@
 void server_connection::readBytes()
 {
     // A request that is handled already is not held up by what follows it.
-    if (m_state == state::reading && !m_memory.mayGrow()) {
+    if (m_state == state::reading && !m_memory.mayGrow(restOfBody(m_parser))) {
         // The kernel keeps what arrives meanwhile; the client is not to blame for the pause.
         m_lastTransfer = std::chrono::steady_clock::now();
         waitForMemory();
--- a/policy/connections/growth_turns.cpp
+++ b/policy/connections/growth_turns.cpp
@@ -1,5 +1,8 @@
 #include "policy/connections/growth_turns.h"
 
+#include <algorithm>
+#include <tuple>
+
 namespace snipefall {
 
 namespace {
@@ -10,56 +13,55 @@
 
 } // namespace
 
-bool growth_turns::mayGrow(holder asking, std::size_t heldBytes, std::size_t usedBytes, std::size_t limitBytes, steady_time now)
+bool growth_turns::mayGrow(holder asking, const need &asked, std::size_t usedBytes, std::size_t limitBytes, steady_time now)
 {
-    if (heldBytes < SMALL_BYTES || usedBytes <= limitBytes / 4 * 3) {
+    if (asked.heldBytes < SMALL_BYTES || usedBytes <= limitBytes / 4 * 3) {
         return true;
     }
-    if (m_orders.count(asking) == 0) {
-        m_orders[asking] = ++m_lastOrder;
-        m_waiting[m_lastOrder] = asking;
-        if (m_waiting.size() == 1) {
-            beginTurn(now);
-        }
+    waiting_holder &entry = m_waiting[asking];
+    entry.restBytes = asked.restBytes;
+    if (entry.order == 0) {
+        entry.order = ++m_lastOrder;
     }
-    if (now - m_checkedAt >= CHECK_INTERVAL) {
-        const auto [order, current] = *m_waiting.begin();
-        if (m_turnBytes < m_bytesAtCheck + MIN_GROWTH_BYTES && current != asking) {
-            m_waiting.erase(order);
-            m_orders[current] = ++m_lastOrder;
-            m_waiting[m_lastOrder] = current;
-            beginTurn(now);
-        } else {
-            m_checkedAt = now;
-            m_bytesAtCheck = m_turnBytes;
-        }
+    if (!m_current) {
+        beginTurn(now);
     }
-    if (m_waiting.begin()->second != asking) {
+    endSlowTurn(now);
+    if (m_current != asking) {
         return false;
     }
-    m_turnBytes = heldBytes;
-    return usedBytes - heldBytes <= limitBytes;
+    m_currentBytes = asked.heldBytes;
+    return usedBytes - asked.heldBytes <= limitBytes;
 }
 
 void growth_turns::leave(holder left)
 {
-    const auto found = m_orders.find(left);
-    if (found == m_orders.end()) {
-        return;
-    }
-    const bool hadTurn = m_waiting.begin()->second == left;
-    m_waiting.erase(found->second);
-    m_orders.erase(found);
-    if (hadTurn) {
-        beginTurn(m_checkedAt);
+    if (m_waiting.erase(left) > 0 && m_current == left) {
+        m_current.reset();
     }
 }
 
 void growth_turns::beginTurn(steady_time now)
 {
+    const auto rank = [](const auto &item) { return std::tuple(item.second.lostTurns, item.second.restBytes, item.second.order); };
+    m_current = std::min_element(m_waiting.begin(), m_waiting.end(), [&](const auto &left, const auto &right) { return rank(left) < rank(right); })->first;
     m_checkedAt = now;
     m_bytesAtCheck = 0;
-    m_turnBytes = 0;
+    m_currentBytes = 0;
+}
+
+void growth_turns::endSlowTurn(steady_time now)
+{
+    if (now - m_checkedAt < CHECK_INTERVAL) {
+        return;
+    }
+    if (m_currentBytes >= m_bytesAtCheck + MIN_GROWTH_BYTES) {
+        m_checkedAt = now;
+        m_bytesAtCheck = m_currentBytes;
+        return;
+    }
+    ++m_waiting[*m_current].lostTurns;
+    beginTurn(now);
 }
 
 } // namespace snipefall
