Drop answers that nobody waits for

Seen: 200 clients that ask for answers of 4 MB and leave took a node of 64 MB to 403 MB.

Cause: a request that isn't idempotent goes on when its caller has left, and its answer was read to the end, up to 8 MB, and kept until then. Answers that were gathered, and one more copy of a forwarded answer, lasted as long as a hedge of the request still ran.

Change: when a request has ended or its caller has left, bodies that have come are freed and those still to come are dropped. A call that is only waited for to see whether it ran ends with the header of its response if more than 64 KB follow, and its connection is closed; reading 4 MB for each abandoned request kept the node at a full core. A forwarded answer is moved, not copied.

--- a/http/async_http_client.cpp
+++ b/http/async_http_client.cpp
@@ -78,6 +78,14 @@
     }
 }
 
+void async_http_client::discardBody(call_id id)
+{
+    const auto found = m_calls.find(id);
+    if (found != m_calls.end()) {
+        found->second->discardBody();
+    }
+}
+
 std::shared_ptr<client_connection> async_http_client::takeIdle(const std::string &address)
 {
     const auto found = m_pools.find(address);
--- a/http/async_http_client.h
+++ b/http/async_http_client.h
@@ -41,6 +41,9 @@
     /** Moves the deadline of a call to @p remaining from now if that is earlier. The connection stays in the pool if the response arrives in time. */
     void shortenDeadline(call_id id, std::chrono::microseconds remaining);
 
+    /** Drops the body of the call's response, which then takes no memory. The call goes on until its response has begun, and ends with an empty body. */
+    void discardBody(call_id id);
+
     /** Number of connections to an address, idle or in use. */
     std::size_t connectionsTo(const std::string &address) const;
     /** Closes the idle connections to an address; for servers that were removed or whose connections may be dead without a reset. */
--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -12,6 +12,7 @@
 #include "http/memory_charge.h"
 #include "http/message_parsing.h"
 #include "http/receive_buffer.h"
+#include "policy/connections/growth_turns.h"
 
 namespace snipefall {
 
@@ -30,6 +31,8 @@
 constexpr unsigned MAX_INTERIM_RESPONSES = 16;
 /** The same holds for responses to earlier requests; a connection carries one request at a time, so that more than a few belong to none. */
 constexpr unsigned MAX_LATE_RESPONSES = 16;
+/** A longer rest of a response that nobody waits for is not read; a new connection costs less. */
+constexpr std::size_t MAX_DISCARDED_BYTES = 65536;
 
 /** The timeout in a Keep-Alive header such as "timeout=5, max=100", or nothing if it has none. */
 std::optional<std::chrono::seconds> keepAliveTimeout(beast::string_view header)
@@ -68,6 +71,7 @@
     m_parser.reset();
     m_interimResponses = 0;
     m_lateResponses = 0;
+    m_discardsBody = false;
     if (m_connected) {
         armTimer(m_call.deadline);
         send();
@@ -153,7 +157,7 @@
 
 void client_connection::readBytes()
 {
-    if (m_handler && !m_result.memory->mayGrow(restOfBody(m_parser))) {
+    if (m_handler && !m_discardsBody && !m_result.memory->mayGrow(restOfBody(m_parser))) {
         waitForMemory();
         return;
     }
@@ -194,6 +198,14 @@
             finish(client_result::kind::malformed, false);
             return;
         }
+        if (m_discardsBody) {
+            std::string().swap(m_parser->get().body());
+            if (hasLongRest()) {
+                m_result.response = m_parser->release();
+                finish(client_result::kind::answered, false);
+                return;
+            }
+        }
         m_result.memory->set(m_call.bytes.size() + m_buffer.capacity() + m_parser->get().body().size());
         const bool hasOversizedTrailer = m_parser->is_header_done() && !m_parser->is_done() && m_buffer.size() > m_options.maxTrailerBytes;
         if (hasOversizedTrailer || (m_parser->is_header_done() && !acceptsStatus(m_parser->get().result_int()))) {
@@ -228,6 +240,30 @@
     }
 }
 
+bool client_connection::hasLongRest() const
+{
+    if (!m_parser->is_header_done() || m_parser->is_done() || !isFinalStatus(m_parser->get().result_int())) {
+        return false;
+    }
+    if (m_call.acceptsResponse && !m_call.acceptsResponse(m_parser->get())) {
+        return false;
+    }
+    return restOfBody(m_parser).value_or(growth_turns::UNKNOWN_BYTES) > MAX_DISCARDED_BYTES;
+}
+
+void client_connection::discardBody()
+{
+    m_discardsBody = true;
+    if (!m_handler) {
+        return;
+    }
+    m_result.memory->stopGrowing();
+    if (m_parser) {
+        std::string().swap(m_parser->get().body());
+        m_result.memory->set(m_call.bytes.size() + m_buffer.capacity());
+    }
+}
+
 bool client_connection::acceptsStatus(unsigned status) const
 {
     return isFinalStatus(status) || (isInterimStatus(status) && m_interimResponses < MAX_INTERIM_RESPONSES);
--- a/http/client_connection.h
+++ b/http/client_connection.h
@@ -29,6 +29,8 @@
     void start(client_call call, call_handler handler);
     /** Moves the deadline of the running call to @p remaining from now if that is earlier. At the deadline the handler gets a failure. */
     void shortenDeadline(std::chrono::microseconds remaining);
+    /** Drops the body of the running call's response. The call ends with the header if much of the body is still to come, and otherwise with the body. */
+    void discardBody();
     /** Closes the connection and drops the handler of a running call without calling it. */
     void close();
     /** Monitors the idle connection; @p onClosed is called when the server closes it or sends unexpected bytes. */
@@ -50,6 +52,8 @@
     void parse();
     /** Whether a response with this status may follow: the final one, or a limited number of interim ones. */
     bool acceptsStatus(unsigned status) const;
+    /** Whether the response to the running call has begun and much of its body, or an unknown number of bytes, is still to come. */
+    bool hasLongRest() const;
     void handleDisconnect(bool atEndOfStream);
     void finish(client_result::kind outcome, bool reusable);
     void armTimer(steady_time at);
@@ -73,6 +77,7 @@
     bool m_connected = false;
     bool m_readWaitPending = false; ///< A wait for readable bytes is pending.
     bool m_waitingForMemory = false;
+    bool m_discardsBody = false;
     bool m_writing = false;
     bool m_hasServedCall = false; ///< A call was answered on this connection before.
     bool m_closed = false;
--- a/tests/http/test_async_http_client.cpp
+++ b/tests/http/test_async_http_client.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "http/async_http_client.h"
+#include "http/memory_account.h"
 #include "tests/http/scripted_server.h"
 #include "tests/stand_ins/free_port.h"
 
@@ -52,7 +53,12 @@
 
 struct client_fixture
 {
-    client_result call(const std::string &address, bool newConnection = false)
+    explicit client_fixture(const async_client_options &options = {})
+        : client(loop, options)
+    {
+    }
+
+    async_http_client::call_id start(const std::string &address, std::optional<client_result> &result, bool newConnection = false)
     {
         client_call request;
         request.address = address;
@@ -60,8 +66,13 @@
         request.newConnection = newConnection;
         request.deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
         request.acceptsResponse = [](const http_response_message &answer) { return answer["Request-Id"].empty() || answer["Request-Id"] == "r"; };
+        return client.start(std::move(request), [&result](client_result ended) { result = std::move(ended); });
+    }
+
+    client_result call(const std::string &address, bool newConnection = false)
+    {
         std::optional<client_result> result;
-        client.start(std::move(request), [&result](client_result ended) { result = std::move(ended); });
+        start(address, result, newConnection);
         while (!result) {
             loop.run_one();
         }
@@ -69,7 +80,7 @@
     }
 
     boost::asio::io_context loop;
-    async_http_client client{loop, async_client_options()};
+    async_http_client client;
 };
 
 } // namespace
@@ -132,6 +143,29 @@
     BOOST_TEST(server.endlessBytes() < MAX_BYTES);
 }
 
+// Guards against an answer for a caller that has left, which takes memory until it has come to its end.
+BOOST_AUTO_TEST_CASE(discardedBodiesTakeNoMemory)
+{
+    const std::string body(1U << 20U, 'a');
+    scripted_server server({{"HTTP/1.1 200 OK\r\nContent-Length: 1048576\r\n\r\n" + body, end::keep}, {OK_RESPONSE, end::keep}});
+    const auto memory = std::make_shared<memory_account>();
+    async_client_options options;
+    options.memory = memory;
+    client_fixture fixture(options);
+    std::optional<client_result> result;
+    const auto id = fixture.start(server.address(), result);
+    fixture.client.discardBody(id);
+    std::size_t most = 0;
+    while (!result) {
+        fixture.loop.run_one();
+        most = std::max(most, memory->used());
+    }
+    BOOST_TEST((result->outcome == kind::answered));
+    BOOST_TEST(result->response.body().empty());
+    BOOST_TEST(most < body.size() / 8);
+    BOOST_TEST(fixture.client.connectionsTo(server.address()) == 0U);
+}
+
 // Guards against a process that a trailer line too long for the parser ends.
 BOOST_AUTO_TEST_CASE(tooLongTrailerLinesAreMalformed)
 {
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -251,7 +251,9 @@
 {
     m_finished = true;
     m_timer.cancel();
-    m_exchange->respond(answerOf(result));
+    http_response_message answer = takeAnswer(result);
+    dropAnswers();
+    m_exchange->respond(std::move(answer));
     limitSubRequests(UNNEEDED_SUB_REQUEST_CANCEL_DELAY);
     reportToCrashController(result);
     settleUsage();
@@ -261,7 +263,19 @@
     m_onFinished();
 }
 
-http_response_message request_runner::answerOf(const execution_result &result) const
+void request_runner::dropAnswers()
+{
+    for (sub_request &subRequest : m_subRequests) {
+        if (!subRequest.outcome) {
+            m_dependencies.client.discardBody(subRequest.call);
+            continue;
+        }
+        std::string().swap(subRequest.answer.body());
+        subRequest.memory.reset();
+    }
+}
+
+http_response_message request_runner::takeAnswer(const execution_result &result)
 {
     switch (result.outcome) {
     case execution_result::kind::answered:
@@ -274,7 +288,7 @@
         return nodeAnswer(504, m_request.id, result.reason, duration::zero());
     }
     if (!m_route.isQuery()) {
-        return forwardedAnswer(m_subRequests[result.subRequests.front()].answer);
+        return forwardedAnswer(std::move(m_subRequests[result.subRequests.front()].answer));
     }
     std::vector<std::string> signatures;
     std::vector<std::string_view> bodies;
@@ -355,6 +369,7 @@
     }
     m_finished = true;
     m_timer.cancel();
+    dropAnswers();
     if (m_route.idempotent) {
         limitSubRequests(DISCONNECT_CANCEL_DELAY);
     }
--- a/tier/request_runner.h
+++ b/tier/request_runner.h
@@ -85,7 +85,10 @@
     void recordMoveSample(const sub_request &ended, bool reused, duration latency, time_point at);
     void armTimer(time_point at);
     void finish(const execution_result &result);
-    http_response_message answerOf(const execution_result &result) const;
+    /** Takes the answer to one backend server's request out of its sub-request. */
+    http_response_message takeAnswer(const execution_result &result);
+    /** Frees the answers of sub-requests that have ended, and lets those of running ones be dropped as they come. */
+    void dropAnswers();
     void limitSubRequests(duration linger);
     /** Takes the request out of the usage counts if no server can have run it. */
     void settleUsage();
