Share a request's body among its sub-requests and charge it as long as it lives

Seen: 200 clients whose queries have bodies of 256 KB took a node of 64 MB to 123 MB, and pipelined requests with such bodies to 107 MB.

Cause: each request kept a second copy of its body, from which one more was made for each part, hedge and retry. The charge of a request ended with the client's connection, while the request could go on.

The exchange owns the charge.

--- a/http/client_call.h
+++ b/http/client_call.h
@@ -16,7 +16,8 @@
 struct client_call
 {
     std::string address; ///< "ip:port"
-    std::string bytes; ///< The serialized request, header and body.
+    std::string bytes; ///< The serialized request; without its body if that is in @c body.
+    std::shared_ptr<const std::string> body; ///< Follows the bytes; null for none. Calls may share it.
     bool headRequest = false; ///< A HEAD request, whose response has no body.
     bool newConnection = false; ///< Don't reuse an idle connection, because the server may have closed it already.
     std::chrono::steady_clock::time_point deadline; ///< A call without a response at this time ends as timed_out, or as not_sent while it is still connecting.
--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -1,6 +1,7 @@
 #include "http/client_connection.h"
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 
@@ -114,7 +115,9 @@
 void client_connection::send()
 {
     m_writing = true;
-    boost::asio::async_write(m_socket, boost::asio::buffer(m_call.bytes), [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
+    const std::array<boost::asio::const_buffer, 2> request{boost::asio::buffer(m_call.bytes),
+                                                           m_call.body ? boost::asio::buffer(*m_call.body) : boost::asio::const_buffer()};
+    boost::asio::async_write(m_socket, request, [self = shared_from_this()](const boost::system::error_code &error, std::size_t) {
         self->m_writing = false;
         // While a read wait is pending, a failed write is left to it: the server may have sent a response before it closed the connection.
         if (error && !self->m_closed && self->m_handler && !self->m_readWaitPending && !self->m_waitingForMemory) {
@@ -305,6 +308,7 @@
     }
     if (!m_writing) {
         std::string().swap(m_call.bytes); // An assignment would keep the memory.
+        m_call.body.reset();
     }
     if (outcome == client_result::kind::answered) {
         m_hasServedCall = true;
--- a/http/http_exchange.cpp
+++ b/http/http_exchange.cpp
@@ -7,11 +7,13 @@
 http_exchange::http_exchange(std::weak_ptr<server_connection> connection,
                              http_request_message request,
                              std::chrono::steady_clock::time_point receivedAt,
-                             std::string clientAddress)
+                             std::string clientAddress,
+                             std::unique_ptr<memory_charge> memory)
     : m_connection(std::move(connection))
     , m_request(std::move(request))
     , m_receivedAt(receivedAt)
     , m_clientAddress(std::move(clientAddress))
+    , m_memory(std::move(memory))
 {
 }
 
--- a/http/http_exchange.h
+++ b/http/http_exchange.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "http/async_http_types.h"
+#include "http/memory_charge.h"
 
 namespace snipefall {
 
@@ -18,7 +19,8 @@
     http_exchange(std::weak_ptr<server_connection> connection,
                   http_request_message request,
                   std::chrono::steady_clock::time_point receivedAt,
-                  std::string clientAddress);
+                  std::string clientAddress,
+                  std::unique_ptr<memory_charge> memory);
 
     const http_request_message &request() const { return m_request; }
     /** When the last byte of the request was read. */
@@ -43,6 +45,7 @@
     std::string m_clientAddress;
     std::function<void()> m_onClientDisconnect;
     bool m_finished = false;
+    std::unique_ptr<memory_charge> m_memory; ///< Charges the request, which may outlive its connection.
 };
 
 } // namespace snipefall
--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -44,8 +44,9 @@
     : m_socket(std::move(socket))
     , m_memoryTimer(m_socket.get_executor())
     , m_limits(std::move(limits))
+    , m_account(std::move(memory))
     , m_handler(std::move(handleRequest))
-    , m_memory(std::move(memory))
+    , m_memory(m_account)
     , m_lastProgress(std::chrono::steady_clock::now())
     , m_lastTransfer(m_lastProgress)
 {
@@ -131,8 +132,7 @@
     }
     // What the kernel holds is charged while it isn't read.
     const bool isPaused = m_waitingForMemory || (isBusy() && m_buffer.size() >= MAX_READ_AHEAD_BYTES);
-    m_memory.set((isPaused ? RECEIVE_BUFFER_BYTES : 0) + m_buffer.capacity() + (m_parser ? bytesOf(m_parser->get()) : 0)
-                 + (m_exchange ? bytesOf(m_exchange->request()) : 0) + m_response.body().size());
+    m_memory.set((isPaused ? RECEIVE_BUFFER_BYTES : 0) + m_buffer.capacity() + (m_parser ? bytesOf(m_parser->get()) : 0) + m_response.body().size());
 }
 
 void server_connection::parse()
@@ -201,10 +201,13 @@
     m_memory.stopGrowing();
     http_request_message request = m_parser->release();
     m_parser.reset();
+    chargeMemory();
     m_state = state::handling;
     m_headRequest = request.method() == beast::http::verb::head;
     m_closeAfterResponse = m_closeAfterResponse || !request.keep_alive();
-    m_exchange = std::make_shared<http_exchange>(weak_from_this(), std::move(request), std::chrono::steady_clock::now(), m_clientAddress);
+    auto memory = std::make_unique<memory_charge>(m_account);
+    memory->set(bytesOf(request));
+    m_exchange = std::make_shared<http_exchange>(weak_from_this(), std::move(request), std::chrono::steady_clock::now(), m_clientAddress, std::move(memory));
     m_handler(m_exchange);
 }
 
--- a/http/server_connection.h
+++ b/http/server_connection.h
@@ -77,6 +77,7 @@
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_memoryTimer;
     std::shared_ptr<const async_server_limits> m_limits;
+    std::shared_ptr<memory_account> m_account;
     handler m_handler;
     boost::beast::flat_buffer m_buffer;
     std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> m_parser;
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -145,6 +145,7 @@
     client_call call;
     call.address = planned.server.address;
     call.bytes = m_writer.write(planned.server.id, m_times.deadline - at);
+    call.body = std::shared_ptr<const std::string>(m_exchange, &m_exchange->request().body());
     // A server may close a kept connection before it reads a request; in a trial, a lost connection has to be evidence.
     call.newConnection = !m_route.idempotent || m_mode == request_execution::run_mode::trial;
     call.deadline = m_times.deadline;
