Bound what the directory, readiness and metrics servers hold for clients

Cause: these servers charged nothing to the memory account and took bodies of 256 KB each, which no lookup or check has.

Change: they charge the account, give way when it is short, and take bodies of 4 KB.

--- a/tests/uncontrolled_clients/test_client_crowds.cpp
+++ b/tests/uncontrolled_clients/test_client_crowds.cpp
@@ -151,6 +151,19 @@
     running.checkNode();
 }
 
+// Guards against bodies that the directory, which any client may ask, holds without a bound.
+BOOST_AUTO_TEST_CASE(bodiesSentToTheDirectoryStayWithinMemory)
+{
+    small_node running(siteOf(CROWD_CASES[0]));
+    const std::string lookup = "POST /snipefall/resolve?name=site.example HTTP/1.1\r\nHost: directory\r\n";
+    client_crowd crowd(running.site.addresses("node-0").directory, CROWD, {withBody(lookup, MAX_BODY_BYTES - 1), "", reading::nothing});
+    std::this_thread::sleep_for(PRESSURE_TIME);
+    BOOST_TEST(running.answersOrdinaryRequest());
+    crowd.stop();
+    BOOST_TEST_MESSAGE("peak of " << running.memory.peakMb() << " MB");
+    running.checkNode();
+}
+
 // Guards against a process that a single long line ends.
 BOOST_DATA_TEST_CASE(longLinesEndNoProcess, boost::unit_test::data::make(LONG_LINE_CASES), row)
 {
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -39,6 +39,8 @@
 /** The platform counts this many descriptors of a process as files. Half of the others are for callers, the rest for servers, the store and checks. */
 constexpr std::size_t FILE_DESCRIPTORS = 200;
 constexpr std::size_t MIN_SIDE_CONNECTIONS = 8;
+/** Lookups and checks have no body. */
+constexpr std::size_t SIDE_BODY_BYTES = 4096;
 constexpr duration CLOSED_CONNECTIONS_LOG_INTERVAL = std::chrono::minutes(1);
 
 /** Number of peers to which each node passes a message about a read of the store: it then reaches some 98% of them, and the next read most of the rest. */
@@ -294,16 +296,20 @@
         m_connectionMemory->setLimit(memoryMb * MB);
     }
     m_connectionMemory->onShort([this] { closeConnectionsIfShort(); });
-    m_callerServer.setMemory(m_connectionMemory);
+    for (async_http_server *server : {&m_callerServer, &m_readyServer, &m_directoryServer, &m_metricsServer}) {
+        server->setMemory(m_connectionMemory);
+    }
     const std::size_t sockets = m_boot.descriptors > FILE_DESCRIPTORS ? m_boot.descriptors - FILE_DESCRIPTORS : 0;
-    if (sockets == 0) {
-        return;
+    if (sockets > 0) {
+        m_callerLimits.connections = sockets / 2;
+        m_callerServer.setLimits(m_callerLimits);
     }
-    m_callerLimits.connections = sockets / 2;
-    m_callerServer.setLimits(m_callerLimits);
     for (async_http_server *server : {&m_readyServer, &m_directoryServer, &m_metricsServer}) {
         async_server_limits limits;
-        limits.connections = std::max<std::size_t>(sockets / 16, MIN_SIDE_CONNECTIONS);
+        limits.bodyBytes = SIDE_BODY_BYTES;
+        if (sockets > 0) {
+            limits.connections = std::max<std::size_t>(sockets / 16, MIN_SIDE_CONNECTIONS);
+        }
         server->setLimits(limits);
     }
 }
@@ -316,7 +322,9 @@
     // The charge that leaves the account short is made in the middle of a connection's work.
     boost::asio::post(m_loop, [this] {
         m_shedPending = false;
-        m_callerServer.shedConnections();
+        for (async_http_server *server : {&m_callerServer, &m_readyServer, &m_directoryServer, &m_metricsServer}) {
+            server->shedConnections();
+        }
     });
 }
 
