Ask only once whether a dropped answer is the expected one

A server's announcement is noted with each question, and the answer to a call that drops its body was asked about with each part that arrived.

--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -248,10 +248,8 @@
     if (!m_parser->is_header_done() || m_parser->is_done() || !isFinalStatus(m_parser->get().result_int())) {
         return false;
     }
-    if (m_call.acceptsResponse && !m_call.acceptsResponse(m_parser->get())) {
-        return false;
-    }
-    return restOfBody(m_parser).value_or(growth_turns::UNKNOWN_BYTES) > MAX_DISCARDED_BYTES;
+    const bool isLong = restOfBody(m_parser).value_or(growth_turns::UNKNOWN_BYTES) > MAX_DISCARDED_BYTES;
+    return isLong && (!m_call.acceptsResponse || m_call.acceptsResponse(m_parser->get()));
 }
 
 void client_connection::discardBody()
