--- a/tests/policy/connections/test_growth_turns.cpp
+++ b/tests/policy/connections/test_growth_turns.cpp
@@ -37,7 +37,7 @@
 BOOST_AUTO_TEST_CASE(oneIsCompletedBeforeTheNextGrows)
 {
     growth_turns turns;
-    for (int i = 0; i < 3; ++i) {
+    for (std::size_t i = 0; i < 3; ++i) {
         BOOST_TEST(turns.mayGrow(2, {LONG + 8192 * i, LONG}, SHORT, LIMIT, START + milliseconds(100 * i)));
         BOOST_TEST(!turns.mayGrow(1, {LONG, LONG}, SHORT, LIMIT, START + milliseconds(100 * i)));
     }
