Limit the connections of callers to those whose receive buffers fit into memory

Cause: the number of connections depended on the descriptors alone. The kernel holds up to a receive buffer of 32 KB for each, and counts it as memory of the process, so that the peak grew with the crowd: with 2,000 clients and 4,400 descriptors the unread bytes alone reached 74 MB on a machine of 64 MB. Crowds of 200 don't show it.

Change: policy/connections/connection_limits takes the smaller of half of the descriptors and the number of receive buffers that fit into the limit of the account. A new connection above it takes the place of an idle or incomplete one, as before.

--- a/tests/uncontrolled_clients/test_client_crowds.cpp
+++ b/tests/uncontrolled_clients/test_client_crowds.cpp
@@ -17,6 +17,9 @@
 
 constexpr std::size_t CROWD = 200;
 constexpr unsigned DESCRIPTORS = 2048; ///< Enough for the whole crowd, so that it is memory that runs short.
+/** A crowd whose receive buffers alone would exceed the memory, and the descriptors for it. */
+constexpr std::size_t LARGE_CROWD = 2000;
+constexpr unsigned MANY_DESCRIPTORS = 4400;
 constexpr seconds PRESSURE_TIME(6);
 constexpr std::size_t MAX_BODY_BYTES = 262144;
 constexpr std::size_t MAX_HEADER_BYTES = 131072;
@@ -50,6 +53,9 @@
     return head + "Transfer-Encoding: chunked\r\n\r\n" + repeated("400\r\n" + std::string(1024, 'a') + "\r\n", chunks);
 }
 
+const std::string MANY_FIELDS = repeated("X-Filler: " + std::string(1000, 'a') + "\r\n", 100);
+const std::string MANY_REQUESTS = repeated("GET /nowhere/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: x\r\n\r\n", 4000);
+
 struct crowd_case
 {
     const char *name;
@@ -76,11 +82,18 @@
     {"bodies that drip", {withBody(ORDER_HEAD, MAX_BODY_BYTES / 2), "a", reading::nothing}},
     {"chunked bodies that drip", {withChunks(ORDER_HEAD, 200), "1\r\na\r\n", reading::nothing}},
     {"trailers that drip", {withChunks(ORDER_HEAD, 200) + "0\r\n", "a:b\r\n", reading::nothing}},
-    {"headers that drip", {ORDER_HEAD + repeated("X-Filler: " + std::string(1000, 'a') + "\r\n", 100), "a:b\r\n", reading::nothing}},
+    {"headers that drip", {ORDER_HEAD + MANY_FIELDS, "a:b\r\n", reading::nothing}},
     {"long bodies of requests that run for long", {withBody(ORDER_HEAD, MAX_BODY_BYTES), "", reading::nothing}, 8, true},
     {"long bodies of queries that run for long", {withBody(QUERY_HEAD, MAX_BODY_BYTES), "", reading::nothing}, 8, true},
     {"long bodies behind each other", {withBody(ORDER_HEAD, MAX_BODY_BYTES) + withBody(ORDER_HEAD, MAX_BODY_BYTES), "", reading::nothing}, 8, true},
-    {"requests behind each other", {repeated("GET /nowhere/x HTTP/1.1\r\nHost: site.example\r\nRequest-Id: x\r\n\r\n", 4000), "", reading::nothing}},
+    {"requests behind each other", {MANY_REQUESTS, "", reading::nothing}},
+};
+
+const crowd_case LARGE_CROWD_CASES[] = {
+    {"long answers, read slowly", {ORDER, "", reading::slowly}, LONG_ANSWER_RECORDS},
+    {"bodies that drip", {withBody(ORDER_HEAD, MAX_BODY_BYTES / 2), "a", reading::nothing}},
+    {"headers that drip", {ORDER_HEAD + MANY_FIELDS, "a:b\r\n", reading::nothing}},
+    {"requests behind each other", {MANY_REQUESTS, "", reading::nothing}},
 };
 
 site_emulator::options siteOf(const crowd_case &row)
@@ -110,6 +123,21 @@
     }
 }
 
+void checkCrowd(const crowd_case &row, std::size_t clients, const site_emulator::options &options)
+{
+    small_node running(options);
+    if (row.runsLong) {
+        slowDown(running, row);
+    }
+    client_crowd crowd(running.callerAddress(), clients, row.shown);
+    std::this_thread::sleep_for(PRESSURE_TIME);
+    BOOST_TEST(running.answersOrdinaryRequest());
+    crowd.stop();
+    BOOST_TEST_MESSAGE(row.name << ": peak of " << running.memory.peakMb() << " MB, unread bytes up to " << running.memory.peakUnreadBytes()
+                                << ", answers begun " << crowd.answersBegun() << ", connections " << crowd.connectionsOpened());
+    running.checkNode();
+}
+
 struct long_line_case
 {
     const char *name;
@@ -138,17 +166,15 @@
 // Guards against a process whose memory grows with the number of clients that misbehave, and which serves nobody else meanwhile.
 BOOST_DATA_TEST_CASE(crowdStaysWithinMemory, boost::unit_test::data::make(CROWD_CASES), row)
 {
-    small_node running(siteOf(row));
-    if (row.runsLong) {
-        slowDown(running, row);
-    }
-    client_crowd crowd(running.callerAddress(), CROWD, row.shown);
-    std::this_thread::sleep_for(PRESSURE_TIME);
-    BOOST_TEST(running.answersOrdinaryRequest());
-    crowd.stop();
-    BOOST_TEST_MESSAGE(row.name << ": peak of " << running.memory.peakMb() << " MB, unread bytes up to " << running.memory.peakUnreadBytes()
-                                << ", answers begun " << crowd.answersBegun() << ", connections " << crowd.connectionsOpened());
-    running.checkNode();
+    checkCrowd(row, CROWD, siteOf(row));
+}
+
+// Guards against a bound that holds for a crowd only as long as the receive buffers of its connections are few.
+BOOST_DATA_TEST_CASE(largeCrowdStaysWithinMemory, boost::unit_test::data::make(LARGE_CROWD_CASES), row)
+{
+    site_emulator::options options = siteOf(row);
+    options.nodeDescriptors = MANY_DESCRIPTORS;
+    checkCrowd(row, LARGE_CROWD, options);
 }
 
 // Guards against bodies that the directory, which any client may ask, holds without a bound.
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -9,8 +9,10 @@
 #include <malloc.h>
 
 #include "core/logger.h"
+#include "http/receive_buffer.h"
 #include "platform/caller_messages.h"
 #include "platform/directory_messages.h"
+#include "policy/connections/connection_limits.h"
 #include "tier/loop_clock.h"
 
 namespace snipefall {
@@ -36,9 +38,6 @@
 constexpr std::size_t BASE_MEMORY_MB = 24;
 constexpr std::size_t MIN_CONNECTION_MEMORY_MB = 4;
 constexpr int LARGE_BLOCK_BYTES = 131072;
-/** The platform counts this many descriptors of a process as files. Half of the others are for callers, the rest for servers, the store and checks. */
-constexpr std::size_t FILE_DESCRIPTORS = 200;
-constexpr std::size_t MIN_SIDE_CONNECTIONS = 8;
 /** Lookups and checks have no body. */
 constexpr std::size_t SIDE_BODY_BYTES = 4096;
 constexpr duration CLOSED_CONNECTIONS_LOG_INTERVAL = std::chrono::minutes(1);
@@ -299,18 +298,14 @@
     for (async_http_server *server : {&m_callerServer, &m_readyServer, &m_directoryServer, &m_metricsServer}) {
         server->setMemory(m_connectionMemory);
     }
-    const std::size_t sockets = m_boot.descriptors > FILE_DESCRIPTORS ? m_boot.descriptors - FILE_DESCRIPTORS : 0;
-    if (sockets > 0) {
-        m_callerLimits.connections = sockets / 2;
-        m_callerServer.setLimits(m_callerLimits);
-    }
+    const connection_limits connections = connectionLimits(m_boot.descriptors, m_connectionMemory->limit(), RECEIVE_BUFFER_BYTES);
+    m_callerLimits.connections = connections.callers;
+    m_callerServer.setLimits(m_callerLimits);
+    async_server_limits sideLimits;
+    sideLimits.bodyBytes = SIDE_BODY_BYTES;
+    sideLimits.connections = connections.other;
     for (async_http_server *server : {&m_readyServer, &m_directoryServer, &m_metricsServer}) {
-        async_server_limits limits;
-        limits.bodyBytes = SIDE_BODY_BYTES;
-        if (sockets > 0) {
-            limits.connections = std::max<std::size_t>(sockets / 16, MIN_SIDE_CONNECTIONS);
-        }
-        server->setLimits(limits);
+        server->setLimits(sideLimits);
     }
 }
 
