Ask for memory less often the more connections wait for it

Cause: each connection that waits for its turn asked every 10 ms. With 2,000 clients whose bodies or trailers drip, a node of 260 MB spent 61 and 64 % of a core on that, more than the 0.25 cores of such a machine.

Change: growth_turns::retryDelay() grows with the number that wait, from 10 ms up to 100 ms, which is still less than the 250 ms after which a turn that isn't used ends. Up to 200 that wait nothing changes.

--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -22,8 +22,6 @@
 namespace {
 
 constexpr std::size_t READ_BYTES = 8192;
-/** Pause before more of a response is read while the process is short of memory. */
-constexpr std::chrono::milliseconds MEMORY_WAIT(10);
 /** TCP keep-alive settings. A dead peer is detected after about three seconds, within the time that the platform allows for lost connections. */
 constexpr int KEEPALIVE_IDLE_S = 1;
 constexpr int KEEPALIVE_INTERVAL_S = 1;
@@ -149,7 +147,7 @@
 void client_connection::waitForMemory()
 {
     m_waitingForMemory = true;
-    m_memoryTimer.expires_after(MEMORY_WAIT);
+    m_memoryTimer.expires_after(m_result.memory->retryDelay());
     m_memoryTimer.async_wait([self = shared_from_this()](const boost::system::error_code &cancelled) {
         self->m_waitingForMemory = false;
         if (!cancelled && !self->m_closed) {
--- a/http/memory_charge.cpp
+++ b/http/memory_charge.cpp
@@ -44,4 +44,9 @@
     return m_account->m_turns.mayGrow(m_number, asked, m_account->used(), m_account->limit(), std::chrono::steady_clock::now());
 }
 
+std::chrono::microseconds memory_charge::retryDelay() const
+{
+    return m_account ? m_account->m_turns.retryDelay() : std::chrono::microseconds::zero();
+}
+
 } // namespace snipefall
--- a/http/memory_charge.h
+++ b/http/memory_charge.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <memory>
@@ -23,9 +24,10 @@
     /**
      * Whether the holder may take in more now; see growth_turns. @p restBytes is what its message still needs; nothing if that isn't known.
      *
-     * A holder that may not asks again a little later, until it calls stopGrowing().
+     * A holder that may not asks again after retryDelay(), until it calls stopGrowing().
      */
     bool mayGrow(std::optional<std::uint64_t> restBytes);
+    std::chrono::microseconds retryDelay() const;
     /** Notes that the holder takes in no more for now, so that another one may. */
     void stopGrowing();
 
--- a/http/server_connection.cpp
+++ b/http/server_connection.cpp
@@ -17,8 +17,6 @@
 constexpr std::size_t READ_BYTES = 8192;
 /** Limit of the bytes of pipelined requests that are buffered while a request is handled; further ones stay in the socket's receive buffer. */
 constexpr std::size_t MAX_READ_AHEAD_BYTES = 16384;
-/** Pause before more of a request is read while the process is short of memory. */
-constexpr std::chrono::milliseconds MEMORY_WAIT(10);
 /** A client that moves fewer bytes than this in a second counts as stalled. */
 constexpr std::size_t FAIR_TRANSFER_BYTES = 4096;
 
@@ -78,7 +76,7 @@
 void server_connection::waitForMemory()
 {
     m_waitingForMemory = true;
-    m_memoryTimer.expires_after(MEMORY_WAIT);
+    m_memoryTimer.expires_after(m_memory.retryDelay());
     m_memoryTimer.async_wait([self = shared_from_this()](const boost::system::error_code &cancelled) {
         self->m_waitingForMemory = false;
         if (!cancelled && self->m_open) {
--- a/policy/connections/growth_turns.cpp
+++ b/policy/connections/growth_turns.cpp
@@ -10,6 +10,10 @@
 /** A turn ends when the holder has grown by less than MIN_GROWTH_BYTES in this time, for example because its peer drips. */
 constexpr std::chrono::milliseconds CHECK_INTERVAL(250);
 constexpr std::size_t MIN_GROWTH_BYTES = 4096;
+constexpr std::chrono::microseconds RETRY_DELAY_PER_HOLDER(50);
+constexpr std::chrono::milliseconds MIN_RETRY_DELAY(10);
+/** Shorter than CHECK_INTERVAL, so that a holder learns of its turn before that ends. */
+constexpr std::chrono::milliseconds MAX_RETRY_DELAY(100);
 
 } // namespace
 
@@ -34,6 +38,11 @@
     return usedBytes - asked.heldBytes <= limitBytes;
 }
 
+std::chrono::microseconds growth_turns::retryDelay() const
+{
+    return std::clamp<std::chrono::microseconds>(RETRY_DELAY_PER_HOLDER * m_waiting.size(), MIN_RETRY_DELAY, MAX_RETRY_DELAY);
+}
+
 void growth_turns::leave(holder left)
 {
     if (m_waiting.erase(left) > 0 && m_current == left) {
--- a/policy/connections/growth_turns.h
+++ b/policy/connections/growth_turns.h
@@ -36,6 +36,8 @@
 
     /** Whether the holder may take in more when all hold @p usedBytes. */
     bool mayGrow(holder asking, const need &asked, std::size_t usedBytes, std::size_t limitBytes, steady_time now);
+    /** How long a holder that may not take in more waits before it asks again; longer the more of them wait, since each question costs processor time. */
+    std::chrono::microseconds retryDelay() const;
     /** Notes that the holder takes in no more. */
     void leave(holder left);
 
--- a/tests/policy/connections/test_growth_turns.cpp
+++ b/tests/policy/connections/test_growth_turns.cpp
@@ -77,4 +77,19 @@
     BOOST_TEST(turns.mayGrow(4, {LONG, LONG / 2}, SHORT, LIMIT, START));
 }
 
+// Guards against a processor that is spent on the questions of thousands that wait, and against a holder that asks too seldom to learn of its turn.
+BOOST_AUTO_TEST_CASE(manyAskLessOften)
+{
+    growth_turns turns;
+    for (growth_turns::holder asking = 1; asking <= 3000; ++asking) {
+        turns.mayGrow(asking, {LONG, LONG}, SHORT, LIMIT, START);
+        BOOST_TEST(turns.retryDelay() >= milliseconds(10));
+        const double questionsPerSecond = static_cast<double>(asking) / std::chrono::duration<double>(turns.retryDelay()).count();
+        BOOST_TEST(questionsPerSecond <= 30000);
+    }
+    turns.leave(1);
+    BOOST_TEST(!turns.mayGrow(3, {LONG, LONG}, SHORT, LIMIT, START));
+    BOOST_TEST(turns.mayGrow(2, {LONG, LONG}, SHORT, LIMIT, START + turns.retryDelay()));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
