Count the connections that the other servers close for memory as well

The readiness, directory and metrics servers charge the account and close connections since they were bounded, but the gauge connections_closed_for_memory and the log line connections.closed counted those of callers only. Both now count all four.

--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -247,7 +247,7 @@
     m_metrics.setGauge("live_peers", static_cast<double>(m_peers.livePeers()));
     m_metrics.setGauge("caller_connections", static_cast<double>(m_callerServer.openConnections()));
     m_metrics.setGauge("connection_memory_bytes", static_cast<double>(m_connectionMemory->used()));
-    m_metrics.setGauge("connections_closed_for_memory", static_cast<double>(m_callerServer.shedCount()));
+    m_metrics.setGauge("connections_closed_for_memory", static_cast<double>(connectionsClosedForMemory()));
     m_metrics.setGauge("connections_closed_for_number", static_cast<double>(m_callerServer.evictedCount()));
     m_metrics.setGauge("running_requests", static_cast<double>(m_callers.running()));
     m_metrics.setGauge("refused_crashing_requests", static_cast<double>(m_crashController.refusedRequests()));
@@ -323,16 +323,22 @@
     });
 }
 
+std::uint64_t tier_process::connectionsClosedForMemory() const
+{
+    return m_callerServer.shedCount() + m_readyServer.shedCount() + m_directoryServer.shedCount() + m_metricsServer.shedCount();
+}
+
 void tier_process::logClosedConnections()
 {
-    const std::uint64_t closed = m_callerServer.shedCount() + m_callerServer.evictedCount();
+    const std::uint64_t closedForMemory = connectionsClosedForMemory();
+    const std::uint64_t closed = closedForMemory + m_callerServer.evictedCount();
     if (closed == m_loggedClosedConnections || now() - m_closedConnectionsLoggedAt < CLOSED_CONNECTIONS_LOG_INTERVAL) {
         return;
     }
     m_loggedClosedConnections = closed;
     m_closedConnectionsLoggedAt = now();
     logWarning("connections.closed",
-               {{"short_of_memory", std::to_string(m_callerServer.shedCount())},
+               {{"short_of_memory", std::to_string(closedForMemory)},
                 {"too_many", std::to_string(m_callerServer.evictedCount())},
                 {"memory_bytes", std::to_string(m_connectionMemory->used())},
                 {"open", std::to_string(m_callerServer.openConnections())}});
--- a/tier/tier_process.h
+++ b/tier/tier_process.h
@@ -57,6 +57,7 @@
     /** Derives the limits on memory and connections from those of the machine. */
     void applyMachineLimits();
     void closeConnectionsIfShort();
+    std::uint64_t connectionsClosedForMemory() const;
     void logClosedConnections();
     void housekeeping();
     void beginStop();
