--- a/policy/connections/connection_limits.h
+++ b/policy/connections/connection_limits.h
@@ -12,10 +12,10 @@
 };
 
 /**
- * Derives the limits from the descriptors of a process that aren't for files, and from the memory that its connections may hold.
+ * Derives the limits from the descriptors that a process may open, files included, and from the memory that its connections may hold.
  *
- * The kernel may hold @p receiveBufferBytes for each connection, whatever the process reads. All connections of callers together stay within the memory.
- * A number of descriptors of 0 means that it isn't known.
+ * The kernel may hold @p receiveBufferBytes for each connection, whatever the process reads. Those of all callers together stay within @p memoryBytes. If
+ * @p descriptors is 0, it isn't known and sets no limit.
  */
 connection_limits connectionLimits(std::size_t descriptors, std::size_t memoryBytes, std::size_t receiveBufferBytes);
 
