Log late answers of backend servers and the connection of each failed sub-request

A query counted one shard twice, and the logs didn't show whether its answers came on one connection, nor that servers sent answers to earlier requests.

sub_request.late_answer is written for each answer that names another request; sub_request.failed names the connection. No decision changes.

--- a/http/async_http_client.cpp
+++ b/http/async_http_client.cpp
@@ -57,8 +57,7 @@
     const std::string address = call.address;
     std::shared_ptr<client_connection> connection = call.newConnection ? nullptr : takeIdle(address);
     if (!connection) {
-        connection = std::make_shared<client_connection>(m_loop, *endpoint, m_options);
-        ++m_connectionsOpened;
+        connection = std::make_shared<client_connection>(m_loop, connection_id(++m_connectionsOpened), *endpoint, m_options);
     }
     ++m_pools[address].inUse;
     m_calls[id] = connection;
--- a/http/client_call.h
+++ b/http/client_call.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "http/async_http_types.h"
+#include "http/connection_id.h"
 
 namespace snipefall {
 
@@ -40,6 +41,7 @@
     kind outcome = kind::lost;
     http_response_message response; ///< Set if the outcome is answered.
     std::shared_ptr<memory_charge> memory; ///< Charges the response to the memory of the process; to be kept as long as the response.
+    connection_id connection = connection_id::none; ///< The connection that carried the call; none if the address was malformed.
     bool reused = false; ///< The connection had already carried an earlier call.
     std::chrono::steady_clock::time_point sentAt; ///< When the call was started, before a connect if one was needed.
 };
--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -48,8 +48,12 @@
 
 } // namespace
 
-client_connection::client_connection(boost::asio::io_context &loop, boost::asio::ip::tcp::endpoint server, const async_client_options &options)
-    : m_socket(loop)
+client_connection::client_connection(boost::asio::io_context &loop,
+                                     connection_id id,
+                                     boost::asio::ip::tcp::endpoint server,
+                                     const async_client_options &options)
+    : m_id(id)
+    , m_socket(loop)
     , m_timer(loop)
     , m_memoryTimer(loop)
     , m_server(std::move(server))
@@ -63,6 +67,7 @@
     m_handler = std::move(handler);
     m_onIdleClosed = nullptr;
     m_result = client_result();
+    m_result.connection = m_id;
     m_result.reused = m_hasServedCall;
     m_result.sentAt = std::chrono::steady_clock::now();
     m_result.memory = std::make_shared<memory_charge>(m_options.memory);
--- a/http/client_connection.h
+++ b/http/client_connection.h
@@ -23,7 +23,9 @@
     /** Receives the result of a call and whether the connection can be reused for another one. */
     using call_handler = std::function<void(client_result, bool reusable)>;
 
-    client_connection(boost::asio::io_context &loop, boost::asio::ip::tcp::endpoint server, const async_client_options &options);
+    client_connection(boost::asio::io_context &loop, connection_id id, boost::asio::ip::tcp::endpoint server, const async_client_options &options);
+
+    connection_id id() const { return m_id; }
 
     /** Starts a call and connects first if needed. The handler is called once, unless close() is called before. */
     void start(client_call call, call_handler handler);
@@ -59,6 +61,7 @@
     void armTimer(steady_time at);
     void timerFired();
 
+    connection_id m_id;
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     boost::asio::steady_timer m_memoryTimer;
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -38,6 +38,12 @@
     return std::chrono::duration<double, std::milli>(value).count();
 }
 
+void logLateAnswer(const request_id &awaited, const backend_server_id &server, const http_response_message &answer)
+{
+    logInfo("sub_request.late_answer",
+            {{"request", awaited.str()}, {"server", server.str()}, {"answers", requestIdOf(answer)}, {"status", std::to_string(answer.result_int())}});
+}
+
 } // namespace
 
 request_runner::request_runner(runner_dependencies dependencies,
@@ -152,6 +158,9 @@
     // A late answer to an earlier request is not accepted, but what the server states in it holds all the same.
     call.acceptsResponse = [&board = m_dependencies.board, server = planned.server.id, id = m_request.id, at](const http_response_message &answer) {
         const bool accepted = isAnswerTo(answer, id);
+        if (!accepted) {
+            logLateAnswer(id, server, answer);
+        }
         noteServerAnnouncement(board, server, answer, accepted ? at : time_point());
         return accepted;
     };
@@ -209,6 +218,7 @@
                  {"outcome", toString(outcome)},
                  {"status", std::to_string(result.outcome == client_result::kind::answered ? result.response.result_int() : 0U)},
                  {"kept_connection", result.reused ? "yes" : "no"},
+                 {"connection", std::to_string(static_cast<std::uint64_t>(result.connection))},
                  {"ms", fmt::format("{:.1f}", milliseconds(latency))},
                  {"after_end", m_finished ? "yes" : "no"}});
     }
