Send the sub-requests of a request on different connections

Cause: all sub-requests of a query bear the caller's Request-Id, and connections are pooled by address alone. A hedge to a lost server went out on the connection on which the new server of that address, of another shard, had just answered the same query. A repeat of that answer came first and was taken for the hedge's.

Change: a request uses a connection at most once, so that an id names at most one sub-request on it. The pool skips the connections that a request has used.

--- a/http/async_http_client.cpp
+++ b/http/async_http_client.cpp
@@ -55,7 +55,7 @@
         return id;
     }
     const std::string address = call.address;
-    std::shared_ptr<client_connection> connection = call.newConnection ? nullptr : takeIdle(address);
+    std::shared_ptr<client_connection> connection = call.newConnection ? nullptr : takeIdle(call);
     if (!connection) {
         connection = std::make_shared<client_connection>(m_loop, connection_id(++m_connectionsOpened), *endpoint, m_options);
     }
@@ -85,16 +85,23 @@
     }
 }
 
-std::shared_ptr<client_connection> async_http_client::takeIdle(const std::string &address)
+std::shared_ptr<client_connection> async_http_client::takeIdle(const client_call &call)
 {
-    const auto found = m_pools.find(address);
+    const auto found = m_pools.find(call.address);
     if (found == m_pools.end()) {
         return nullptr;
     }
     const auto now = std::chrono::steady_clock::now();
-    while (!found->second.idle.empty()) {
-        std::shared_ptr<client_connection> connection = std::move(found->second.idle.back());
-        found->second.idle.pop_back();
+    auto &idle = found->second.idle;
+    const auto isAvoided = [&call](const client_connection &connection) {
+        return std::find(call.avoidedConnections.begin(), call.avoidedConnections.end(), connection.id()) != call.avoidedConnections.end();
+    };
+    for (std::size_t i = idle.size(); i-- > 0;) {
+        if (isAvoided(*idle[i])) {
+            continue;
+        }
+        const std::shared_ptr<client_connection> connection = idle[i];
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
         if (now < connection->reusableUntil() && connection->hasNoUnreadInput()) {
             return connection;
         }
--- a/http/async_http_client.h
+++ b/http/async_http_client.h
@@ -58,7 +58,8 @@
         std::size_t inUse = 0;
     };
 
-    std::shared_ptr<client_connection> takeIdle(const std::string &address);
+    /** Takes the most recently used connection from the pool of the call's address that can carry the call; null if there is none. */
+    std::shared_ptr<client_connection> takeIdle(const client_call &call);
     void releaseConnection(call_id id, const std::string &address, const std::shared_ptr<client_connection> &connection, bool reusable);
     void sweep();
 
--- a/http/client_call.h
+++ b/http/client_call.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "http/async_http_types.h"
 #include "http/connection_id.h"
@@ -21,6 +22,8 @@
     std::shared_ptr<const std::string> body; ///< Follows the bytes; null for none. Calls may share it.
     bool headRequest = false; ///< A HEAD request, whose response has no body.
     bool newConnection = false; ///< Don't reuse an idle connection, because the server may have closed it already.
+    /** Idle connections that are not reused: a late response to a call that they carried could not be told from the response to this one. */
+    std::vector<connection_id> avoidedConnections;
     std::chrono::steady_clock::time_point deadline; ///< A call without a response at this time ends as timed_out, or as not_sent while it is still connecting.
     /** Returns whether a response matches this request; a response that doesn't is discarded. An empty function accepts every response. */
     std::function<bool(const http_response_message &)> acceptsResponse;
--- a/tests/http/test_async_http_client.cpp
+++ b/tests/http/test_async_http_client.cpp
@@ -58,21 +58,23 @@
     {
     }
 
-    async_http_client::call_id start(const std::string &address, std::optional<client_result> &result, bool newConnection = false)
+    async_http_client::call_id
+    start(const std::string &address, std::optional<client_result> &result, bool newConnection = false, std::vector<connection_id> avoided = {})
     {
         client_call request;
         request.address = address;
         request.bytes = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
         request.newConnection = newConnection;
+        request.avoidedConnections = std::move(avoided);
         request.deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
         request.acceptsResponse = [](const http_response_message &answer) { return answer["Request-Id"].empty() || answer["Request-Id"] == "r"; };
         return client.start(std::move(request), [&result](client_result ended) { result = std::move(ended); });
     }
 
-    client_result call(const std::string &address, bool newConnection = false)
+    client_result call(const std::string &address, bool newConnection = false, std::vector<connection_id> avoided = {})
     {
         std::optional<client_result> result;
-        start(address, result, newConnection);
+        start(address, result, newConnection, std::move(avoided));
         while (!result) {
             loop.run_one();
         }
@@ -187,6 +189,22 @@
     BOOST_TEST(server.requests() == 2U);
 }
 
+// Guards against a late response that is taken for the response to another call with the same id on the same connection.
+BOOST_AUTO_TEST_CASE(avoidedConnectionsAreNotReused)
+{
+    scripted_server server({{OK_RESPONSE, end::keep}});
+    {
+        client_fixture fixture;
+        const client_result first = fixture.call(server.address());
+        const client_result second = fixture.call(server.address(), false, {first.connection});
+        BOOST_TEST(!second.reused);
+        BOOST_TEST((second.connection != first.connection));
+        // The avoided connection stays in the pool for other calls.
+        BOOST_TEST((fixture.call(server.address(), false, {second.connection}).connection == first.connection));
+    }
+    BOOST_TEST(server.connections() == 2U);
+}
+
 // Guards against a request that must not run twice being sent on an idle connection that the server may have closed already.
 BOOST_AUTO_TEST_CASE(newConnectionIsOpenedWhenRequired)
 {
--- a/tests/stand_ins/loopback_proxy.cpp
+++ b/tests/stand_ins/loopback_proxy.cpp
@@ -2,6 +2,7 @@
 
 #include <array>
 #include <functional>
+#include <utility>
 
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
@@ -80,6 +81,9 @@
                     return;
                 }
                 const auto forward = [=, this, self = self, &from, &to, &bytes] {
+                    if (towardsCaller) {
+                        m_lastAnswer.append(bytes.data(), count);
+                    }
                     boost::asio::async_write(to,
                                              boost::asio::buffer(bytes, count),
                                              [=, this, self = self, &from, &to, &bytes](const boost::system::error_code &writeError, std::size_t) {
@@ -90,6 +94,15 @@
                                                  pump(from, to, bytes, towardsCaller);
                                              });
                 };
+                if (m_fault == fault::repeating_answers && !towardsCaller && !m_lastAnswer.empty()) {
+                    const auto repeated = std::make_shared<std::string>(std::exchange(m_lastAnswer, {}));
+                    boost::asio::async_write(
+                        m_caller, boost::asio::buffer(*repeated), [forward, repeated](const boost::system::error_code &, std::size_t) { forward(); });
+                    return;
+                }
+                if (!towardsCaller) {
+                    m_lastAnswer.clear();
+                }
                 if (m_fault != fault::delayed) {
                     forward();
                     return;
@@ -105,6 +118,7 @@
     boost::asio::steady_timer m_timer;
     buffer m_toServer{};
     buffer m_toCaller{};
+    std::string m_lastAnswer; ///< What the target has sent since the last request.
 };
 
 loopback_proxy::loopback_proxy(boost::asio::io_context &loop, std::string target)
--- a/tests/stand_ins/loopback_proxy.h
+++ b/tests/stand_ins/loopback_proxy.h
@@ -21,6 +21,7 @@
         reset, ///< Open and new connections are closed with a TCP reset.
         silent, ///< Bytes are dropped in both directions; connections stay open.
         dropping_answers, ///< Bytes from the target to the caller are dropped; connections stay open.
+        repeating_answers, ///< The bytes that followed a request are sent once more when the next request arrives on the connection.
         refusing, ///< Connections are reset and the listener is closed, as after a process crash; clearing the fault opens a listener on another port.
     };
 
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -154,6 +154,9 @@
     call.body = std::shared_ptr<const std::string>(m_exchange, &m_exchange->request().body());
     // A server may close a kept connection before it reads a request; in a trial, a lost connection has to be evidence.
     call.newConnection = !m_route.idempotent || m_mode == request_execution::run_mode::trial;
+    // All sub-requests have the id of the caller's request, so a connection carries only one of them: the address may have passed to another shard's server,
+    // whose late answer would be accepted.
+    call.avoidedConnections = m_usedConnections;
     call.deadline = m_times.deadline;
     // A late answer to an earlier request is not accepted, but what the server states in it holds all the same.
     call.acceptsResponse = [&board = m_dependencies.board, server = planned.server.id, id = m_request.id, at](const http_response_message &answer) {
@@ -181,6 +184,7 @@
 void request_runner::subRequestEnded(std::size_t id, client_result result)
 {
     sub_request &ended = m_subRequests[id];
+    m_usedConnections.push_back(result.connection);
     const time_point at = now();
     attempt_outcome outcome = classifySubAnswer(result);
     if (m_route.isQuery() && outcome == attempt_outcome::answered && result.response.result_int() >= 300) {
--- a/tier/request_runner.h
+++ b/tier/request_runner.h
@@ -111,6 +111,7 @@
     std::size_t m_partCount;
     request_execution m_execution;
     std::vector<sub_request> m_subRequests;
+    std::vector<connection_id> m_usedConnections; ///< Connections on which sub-requests of this request have ended.
     std::optional<usage_window> m_usageWindow; ///< The window in which the request was counted as usage.
     boost::asio::steady_timer m_timer;
     std::function<void()> m_onFinished;
