Log failed probes of peers and show how much they slow down later ones

After the loss of most machines the directory named lost ones for half a minute. The logs said when a peer became suspect, but neither how a probe failed nor that the node had slowed its probes down, so the causes could not be told apart.

peers.probe_failed names the requests to relays, how many were answered and the penalty; the gauge peer_probe_penalty shows the last one. No decision changes.

--- a/policy/gossip_engine.cpp
+++ b/policy/gossip_engine.cpp
@@ -228,6 +228,7 @@
 gossip_events gossip_engine::takeEvents()
 {
     m_events.members = m_membership.takeEvents();
+    m_events.failedProbes = m_membership.takeFailedProbes();
     return std::exchange(m_events, {});
 }
 
--- a/policy/gossip_events.h
+++ b/policy/gossip_events.h
@@ -5,6 +5,7 @@
 #include "policy/fact.h"
 #include "policy/member_event.h"
 #include "policy/newer_config_peer.h"
+#include "policy/probe_failure.h"
 
 namespace snipefall {
 
@@ -13,6 +14,7 @@
 {
     std::vector<member_event> members;
     std::vector<fact> facts; ///< Facts that are new to this node.
+    std::vector<probe_failure> failedProbes;
     std::vector<newer_config_peer> newerConfigPeers; ///< Peers with a newer configuration version.
 };
 
--- a/policy/membership.cpp
+++ b/policy/membership.cpp
@@ -158,6 +158,7 @@
     m_pendingProbe.reset();
     // Relays that send neither ack nor nack suggest that the fault lies with the network or processor of this node.
     adjustHealthPenalty(failed.nacksExpected > 0 ? static_cast<int>(failed.nacksExpected - std::min(failed.nacks, failed.nacksExpected)) : 1);
+    m_failedProbes.push_back({failed.target, failed.nacksExpected, failed.nacks, m_healthPenalty});
     const auto known = m_list.claim(failed.target);
     if (!known || !isLive(known->subject.state)) {
         return;
--- a/policy/membership.h
+++ b/policy/membership.h
@@ -5,11 +5,13 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "policy/member_list.h"
 #include "policy/membership_settings.h"
 #include "policy/outgoing_gossip.h"
+#include "policy/probe_failure.h"
 
 namespace snipefall {
 
@@ -73,6 +75,8 @@
     std::size_t randomBucket() { return m_random() % bucket_digest::BUCKETS; }
     /** Returns and clears the events since the last call. */
     std::vector<member_event> takeEvents();
+    /** Returns and clears the probes that failed since the last call. */
+    std::vector<probe_failure> takeFailedProbes() { return std::exchange(m_failedProbes, {}); }
 
 private:
     struct pending_probe
@@ -131,6 +135,7 @@
     time_point m_nextProbe;
     time_point m_nextReconnect;
     std::vector<member_event> m_events;
+    std::vector<probe_failure> m_failedProbes;
 };
 
 } // namespace snipefall
--- a/tier/peer_membership.cpp
+++ b/tier/peer_membership.cpp
@@ -279,6 +279,13 @@
             m_onFact(item);
         }
     }
+    for (const probe_failure &probe : events.failedProbes) {
+        logInfo("peers.probe_failed",
+                {{"member", probe.target.str()},
+                 {"relay_requests", std::to_string(probe.relayRequests)},
+                 {"relay_answers", std::to_string(probe.relayAnswers)},
+                 {"penalty", std::to_string(probe.healthPenalty)}});
+    }
     for (const member_event &event : events.members) {
         logInfo("peers.member_changed",
                 {{"change", toString(event.kind)},
--- a/tier/peer_membership.h
+++ b/tier/peer_membership.h
@@ -60,6 +60,8 @@
     std::vector<entry_node_candidate> unconfirmedEntryNodes() const;
     /** The number of nodes that may be sending requests to backend servers, including this one and nodes that were live a short time ago. */
     std::size_t nodeCount() const;
+    /** By how many intervals each probe is slowed down because failed ones may have had their cause in this node. */
+    int probePenalty() const { return m_engine.nodes().healthPenalty(); }
     std::size_t livePeers() const { return m_engine.nodes().others().live().size(); }
 
 private:
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -245,6 +245,7 @@
     m_metrics.setGauge("backend_servers", static_cast<double>(m_board.servers.size()));
     m_metrics.setGauge("configuration_version", m_board.routes ? static_cast<double>(m_board.routes->configuration().version.value()) : 0);
     m_metrics.setGauge("live_peers", static_cast<double>(m_peers.livePeers()));
+    m_metrics.setGauge("peer_probe_penalty", static_cast<double>(m_peers.probePenalty()));
     m_metrics.setGauge("caller_connections", static_cast<double>(m_callerServer.openConnections()));
     m_metrics.setGauge("connection_memory_bytes", static_cast<double>(m_connectionMemory->used()));
     m_metrics.setGauge("connections_closed_for_memory", static_cast<double>(connectionsClosedForMemory()));
