Search for lost peers at once when relays are silent but the own network works

Cause: relays without an answer raised the health penalty, which slows probes down, as a sign that the node itself is cut off or slow. After the loss of most machines the relays are lost too, so each lost machine that was found slowed down the search for the next one. Probes ran one at a time, also those of suspects.

Change: silent relays count against the node only if nothing has answered it since the last attempt, neither a member nor the store nor a backend server. Otherwise they are probed at once with other members, and each of these probes that fails does the same. A relay that proves alive, or an answer that comes late, raises the penalty. Suspects don't take the place of others in probes, relays and broadcasts. A node that is cut off suspects few peers as before.

--- a/http/async_http_client.cpp
+++ b/http/async_http_client.cpp
@@ -63,6 +63,9 @@
     m_calls[id] = connection;
     connection->start(std::move(call), [this, id, address, connection, done = std::move(done)](client_result result, bool reusable) {
         releaseConnection(id, address, connection, reusable);
+        if (result.outcome == client_result::kind::answered) {
+            m_lastAnswerAt = std::chrono::steady_clock::now();
+        }
         done(std::move(result));
     });
     return id;
--- a/http/async_http_client.h
+++ b/http/async_http_client.h
@@ -50,6 +50,8 @@
     void closeIdle(const std::string &address);
     /** Number of connections created since the start of the client. */
     std::uint64_t connectionsOpened() const { return m_connectionsOpened; }
+    /** When a server last answered a call; the epoch of the clock if none has. */
+    std::chrono::steady_clock::time_point lastAnswerAt() const { return m_lastAnswerAt; }
 
 private:
     struct address_pool
@@ -70,6 +72,7 @@
     std::unordered_map<call_id, std::shared_ptr<client_connection>> m_calls;
     call_id m_lastCallId = 0;
     std::uint64_t m_connectionsOpened = 0;
+    std::chrono::steady_clock::time_point m_lastAnswerAt;
 };
 
 } // namespace snipefall
--- a/policy/member_list.cpp
+++ b/policy/member_list.cpp
@@ -250,9 +250,10 @@
 {
     std::vector<node_id> result;
     const std::size_t available = m_live.size();
-    if (available <= count + 1) {
+    if (available <= count + 1 || !m_suspects.empty()) {
         std::copy_if(m_live.begin(), m_live.end(), std::back_inserter(result), [&](const node_id &id) { return id != excluded; });
         std::shuffle(result.begin(), result.end(), random);
+        std::stable_partition(result.begin(), result.end(), [this](const node_id &id) { return m_suspects.count(id) == 0; });
         result.resize(std::min(result.size(), count));
         return result;
     }
--- a/policy/member_list.h
+++ b/policy/member_list.h
@@ -61,7 +61,7 @@
     std::uint64_t liveVersion() const { return m_liveVersion; }
     bool knowsLiveAddress(const std::string &peerAddress) const { return m_liveAddresses.count(peerAddress) > 0; }
 
-    /** Returns up to @p count distinct random live members other than @p excluded. */
+    /** Returns up to @p count distinct random live members other than @p excluded; suspects only if there are too few others. */
     std::vector<node_id> randomLive(std::mt19937_64 &random, std::size_t count, const node_id &excluded) const;
 
     broadcast_queue &broadcasts() { return m_broadcasts; }
--- a/policy/membership.cpp
+++ b/policy/membership.cpp
@@ -23,8 +23,15 @@
 /** With more pending updates than this, for example when all nodes start together, each is sent less often and anti-entropy delivers the rest. */
 constexpr std::size_t FULL_SEND_BACKLOG = 32;
 constexpr int MIN_SENDS = 2;
+/** Number of relays that are asked in the last attempt. A single answer shows that the network of this node works, however many members are lost. */
+constexpr std::size_t LAST_ATTEMPT_RELAYS = 8;
 /** Limits the memory for probes relayed for other nodes; further requests are ignored. */
 constexpr std::size_t MAX_RELAYED_PROBES = 1024;
+/** Limits the traffic of a node that searches for lost members; a probe without an answer takes some 2 KB. */
+constexpr std::size_t MAX_PENDING_PROBES = 64;
+constexpr std::size_t MAX_FAILED_NUMBERS = 64;
+/** Number of additional probes that a failed one starts while silent relays suggest that many members are lost. */
+constexpr std::size_t SEARCH_FANOUT = 3;
 
 } // namespace
 
@@ -50,7 +57,7 @@
     m_lastTick = now;
     m_list.tick(now);
     expireRelayedProbes(now, out);
-    runProbe(now, out);
+    runProbes(now, out);
     reconnect(now, out);
     return out;
 }
@@ -61,45 +68,72 @@
     if (gap < m_settings.pauseThreshold) {
         return;
     }
-    // Answers that arrived during the pause may still be unread, so the pending probe is dropped instead of failed and suspicions are extended.
-    m_pendingProbe.reset();
+    // Answers that arrived during the pause may still be unread, so pending probes are dropped instead of failed and suspicions are extended.
+    m_pendingProbes.clear();
     m_relayedProbes.clear();
     m_list.extendSuspicions(gap);
     m_nextProbe = now;
 }
 
-void membership::runProbe(time_point now, datagrams &out)
+void membership::runProbes(time_point now, datagrams &out)
 {
-    if (m_pendingProbe && m_pendingProbe->attempts < PROBE_ATTEMPTS && now >= m_pendingProbe->nextAttemptAt) {
-        m_pendingProbe->nextAttemptAt = now + m_settings.probeTimeout * (m_healthPenalty + 1);
-        retryProbe(out);
+    std::vector<std::uint64_t> failed;
+    for (auto &[number, probe] : m_pendingProbes) {
+        if (now >= probe.deadline) {
+            failed.push_back(number);
+        } else if (probe.attempts < PROBE_ATTEMPTS && now >= probe.nextAttemptAt) {
+            const duration timeout = m_settings.probeTimeout * (m_healthPenalty + 1);
+            probe.lastAttemptAt = now;
+            probe.nextAttemptAt += timeout;
+            // Leaves time for the answers of relays, although a late tick delayed the attempt.
+            probe.deadline = std::max(probe.deadline, now + timeout);
+            retryProbe(number, probe, out);
+        }
     }
-    if (m_pendingProbe && now >= m_pendingProbe->deadline) {
-        failProbe(now);
+    for (const std::uint64_t number : failed) {
+        failProbe(now, number, out);
     }
-    if (!m_pendingProbe && now >= m_nextProbe) {
-        startProbe(now, out);
+    const bool waitsForScheduled =
+        std::any_of(m_pendingProbes.begin(), m_pendingProbes.end(), [](const auto &item) { return item.second.purpose == probe_purpose::scheduled; });
+    if (!waitsForScheduled && now >= m_nextProbe) {
+        startScheduledProbe(now, out);
     }
 }
 
-void membership::startProbe(time_point now, datagrams &out)
+void membership::startScheduledProbe(time_point now, datagrams &out)
 {
-    const int slowdown = m_healthPenalty + 1;
-    m_nextProbe = now + m_settings.probeInterval * slowdown;
-    const auto target = nextProbeTarget();
-    if (!target) {
-        return;
+    m_nextProbe = now + m_settings.probeInterval * (m_healthPenalty + 1);
+    // Suspects may well be lost, so a probe of one doesn't take the place of that of another member.
+    for (std::size_t suspects = 0; suspects <= SEARCH_FANOUT; ++suspects) {
+        const auto target = nextProbeTarget();
+        if (!target || isBeingProbed(*target)) {
+            return;
+        }
+        startProbe(now, *target, probe_purpose::scheduled, out);
+        if (m_list.find(*target)->state == member_state::alive) {
+            return;
+        }
     }
+}
+
+void membership::startProbe(time_point now, const node_id &target, probe_purpose purpose, datagrams &out)
+{
+    const int slowdown = m_healthPenalty + 1;
     const std::uint64_t number = ++m_lastProbeNumber;
-    m_pendingProbe = pending_probe{*target, number, now + m_settings.probeTimeout * slowdown, m_nextProbe};
-    out.push_back({m_list.find(*target)->peerAddress, *target, ping(*target, number)});
+    pending_probe &probe = m_pendingProbes[number];
+    probe.target = target;
+    probe.lastAttemptAt = now;
+    probe.nextAttemptAt = now + m_settings.probeTimeout * slowdown;
+    probe.deadline = now + m_settings.probeInterval * slowdown;
+    probe.purpose = purpose;
+    out.push_back({m_list.find(target)->peerAddress, target, ping(target, number)});
 }
 
-void membership::retryProbe(datagrams &out)
+void membership::retryProbe(std::uint64_t number, pending_probe &probe, datagrams &out)
 {
-    out.push_back({m_list.find(m_pendingProbe->target)->peerAddress, m_pendingProbe->target, ping(m_pendingProbe->target, m_pendingProbe->number)});
-    if (++m_pendingProbe->attempts >= FIRST_INDIRECT_ATTEMPT) {
-        sendPingRequests(out);
+    out.push_back({m_list.find(probe.target)->peerAddress, probe.target, ping(probe.target, number)});
+    if (++probe.attempts >= FIRST_INDIRECT_ATTEMPT) {
+        sendPingRequests(number, probe, out);
     }
 }
 
@@ -137,28 +171,38 @@
     return std::nullopt;
 }
 
-void membership::sendPingRequests(datagrams &out)
+void membership::sendPingRequests(std::uint64_t number, pending_probe &probe, datagrams &out)
 {
-    const member *target = m_list.find(m_pendingProbe->target);
-    const std::vector<node_id> relays = m_list.randomLive(m_random, m_settings.relays, m_pendingProbe->target);
-    m_pendingProbe->nacksExpected += relays.size();
+    const member *target = m_list.find(probe.target);
+    const std::size_t count = probe.attempts < PROBE_ATTEMPTS ? m_settings.relays : LAST_ATTEMPT_RELAYS;
+    const std::vector<node_id> relays = m_list.randomLive(m_random, count, probe.target);
+    probe.relayRequests += relays.size();
     for (const node_id &relay : relays) {
+        probe.silentRelays.insert(relay);
         gossip_message message;
         message.type = gossip_type::ping_request;
-        message.probe = m_pendingProbe->number;
+        message.probe = number;
         message.target = target->id;
         message.targetAddress = target->peerAddress;
         out.push_back({m_list.find(relay)->peerAddress, relay, std::move(message)});
     }
 }
 
-void membership::failProbe(time_point now)
+void membership::failProbe(time_point now, std::uint64_t number, datagrams &out)
 {
-    const pending_probe failed = *m_pendingProbe;
-    m_pendingProbe.reset();
-    // Relays that send neither ack nor nack suggest that the fault lies with the network or processor of this node.
-    adjustHealthPenalty(failed.nacksExpected > 0 ? static_cast<int>(failed.nacksExpected - std::min(failed.nacks, failed.nacksExpected)) : 1);
-    m_failedProbes.push_back({failed.target, failed.nacksExpected, failed.nacks, m_healthPenalty});
+    const pending_probe failed = std::move(m_pendingProbes.extract(number).mapped());
+    m_failedNumbers.push_back(number);
+    if (m_failedNumbers.size() > MAX_FAILED_NUMBERS) {
+        m_failedNumbers.pop_front();
+    }
+    if (hasAnswerSince(failed)) {
+        searchLostMembers(now, failed.silentRelays, out);
+    } else {
+        // Nothing answers: the fault may lie with the network or processor of this node.
+        const std::size_t unanswered = failed.relayRequests - std::min(failed.relayAnswers, failed.relayRequests);
+        adjustHealthPenalty(failed.relayRequests > 0 ? static_cast<int>(unanswered) : 1);
+    }
+    m_failedProbes.push_back({failed.target, failed.relayRequests, failed.relayAnswers, m_healthPenalty});
     const auto known = m_list.claim(failed.target);
     if (!known || !isLive(known->subject.state)) {
         return;
@@ -168,6 +212,42 @@
     m_list.apply(now, suspectClaim, member_list::claim_source::broadcasts, m_self.id);
 }
 
+void membership::searchLostMembers(time_point now, const std::set<node_id> &silentRelays, datagrams &out)
+{
+    if (silentRelays.empty()) {
+        return;
+    }
+    std::size_t started = 0;
+    for (const node_id &relay : silentRelays) {
+        if (canSearch(relay)) {
+            startProbe(now, relay, probe_purpose::silent_relay, out);
+            ++started;
+        }
+    }
+    std::vector<node_id> others = m_list.live();
+    std::shuffle(others.begin(), others.end(), m_random);
+    for (const node_id &other : others) {
+        if (started >= SEARCH_FANOUT) {
+            return;
+        }
+        if (canSearch(other)) {
+            startProbe(now, other, probe_purpose::search, out);
+            ++started;
+        }
+    }
+}
+
+bool membership::canSearch(const node_id &target) const
+{
+    const member *known = m_list.find(target);
+    return known && known->state == member_state::alive && m_pendingProbes.size() < MAX_PENDING_PROBES && !isBeingProbed(target);
+}
+
+bool membership::isBeingProbed(const node_id &target) const
+{
+    return std::any_of(m_pendingProbes.begin(), m_pendingProbes.end(), [&](const auto &item) { return item.second.target == target; });
+}
+
 void membership::expireRelayedProbes(time_point now, datagrams &out)
 {
     for (auto &[number, relayed] : m_relayedProbes) {
@@ -229,12 +309,10 @@
         relayPing(now, sender, senderAddress, message, out);
         break;
     case gossip_type::ack:
-        handleAck(sender, message, out);
+        handleAck(now, sender, message, out);
         break;
     case gossip_type::nack:
-        if (m_pendingProbe && m_pendingProbe->number == message.probe) {
-            ++m_pendingProbe->nacks;
-        }
+        handleNack(now, sender, message);
         break;
     case gossip_type::broadcasts:
     case gossip_type::pull:
@@ -273,11 +351,27 @@
     out.push_back({message.targetAddress, message.target, ping(message.target, number)});
 }
 
-void membership::handleAck(const node_id &sender, const gossip_message &message, datagrams &out)
+void membership::handleNack(time_point now, const node_id &sender, const gossip_message &message)
+{
+    m_lastAnswer = now;
+    const auto pending = m_pendingProbes.find(message.probe);
+    if (pending == m_pendingProbes.end()) {
+        return;
+    }
+    pending->second.silentRelays.erase(sender);
+    ++pending->second.relayAnswers;
+}
+
+void membership::handleAck(time_point now, const node_id &sender, const gossip_message &message, datagrams &out)
 {
-    if (m_pendingProbe && m_pendingProbe->number == message.probe) {
-        m_pendingProbe.reset();
-        adjustHealthPenalty(-1);
+    m_lastAnswer = now;
+    if (const auto pending = m_pendingProbes.find(message.probe); pending != m_pendingProbes.end()) {
+        adjustHealthPenalty(penaltyOfAnswer(pending->second.purpose));
+        m_pendingProbes.erase(pending);
+        return;
+    }
+    if (std::erase(m_failedNumbers, message.probe) > 0) {
+        adjustHealthPenalty(1);
         return;
     }
     const auto relayed = m_relayedProbes.find(message.probe);
@@ -319,6 +413,19 @@
     m_selfSendsLeft = sendLimit();
 }
 
+int membership::penaltyOfAnswer(probe_purpose purpose)
+{
+    switch (purpose) {
+    case probe_purpose::scheduled:
+        return -1;
+    case probe_purpose::silent_relay:
+        return 1; // The relay lives, so its silence points to a fault of this node.
+    case probe_purpose::search:
+        break;
+    }
+    return 0;
+}
+
 void membership::adjustHealthPenalty(int delta)
 {
     m_healthPenalty = std::clamp(m_healthPenalty + delta, 0, MAX_HEALTH_PENALTY);
--- a/policy/membership.h
+++ b/policy/membership.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+#include <deque>
 #include <map>
 #include <optional>
 #include <random>
@@ -26,7 +28,8 @@
     /**
      * Maximum of healthPenalty(), which failed probes raise.
      *
-     * With penalty n, a node probes n + 1 times more slowly and waits n + 1 times longer for answers, because the cause may be the node itself.
+     * With penalty n, a node probes n + 1 times more slowly and waits n + 1 times longer for answers, because the cause may be the node itself. Silent relays
+     * raise it only if nothing else has answered the node either, or once they have proved that they live.
      */
     static constexpr int MAX_HEALTH_PENALTY = 7;
 
@@ -44,6 +47,13 @@
     /** Sends probes and handles timeouts that are due. Must be called at least every 100 ms; a gap of membership_settings::pauseThreshold counts as a pause. */
     std::vector<outgoing_gossip> tick(time_point now);
 
+    /**
+     * Notes that something other than a member, such as the store, answered this node at @p at: the node's own network works.
+     *
+     * A member's answer to a probe shows the same. Without either, members that don't answer are taken for a sign that this node is cut off or slow.
+     */
+    void noteOutsideAnswer(time_point at) { m_lastAnswer = std::max(m_lastAnswer, at); }
+
     /** Handles a message that @p sender sent from @p senderAddress ("ip:port"); returns the answers. */
     std::vector<outgoing_gossip> receive(time_point now, const node_id &sender, const std::string &senderAddress, const gossip_message &message);
 
@@ -79,16 +89,25 @@
     std::vector<probe_failure> takeFailedProbes() { return std::exchange(m_failedProbes, {}); }
 
 private:
+    enum class probe_purpose
+    {
+        scheduled, ///< The probe of this interval.
+        silent_relay, ///< Whether a relay that has not answered lives.
+        search, ///< Whether more members are lost.
+    };
     struct pending_probe
     {
         node_id target;
-        std::uint64_t number = 0;
+        time_point lastAttemptAt;
         time_point nextAttemptAt;
         time_point deadline;
+        probe_purpose purpose = probe_purpose::scheduled;
         int attempts = 1;
-        std::size_t nacksExpected = 0;
-        std::size_t nacks = 0;
+        std::size_t relayRequests = 0;
+        std::size_t relayAnswers = 0;
+        std::set<node_id> silentRelays; ///< Relays that have answered none of the requests.
     };
+    using pending_probes = std::map<std::uint64_t, pending_probe>; ///< By the number of the probe.
     struct relayed_probe
     {
         node_id origin;
@@ -101,11 +120,19 @@
     using datagrams = std::vector<outgoing_gossip>;
 
     void handleProcessPause(time_point now);
-    void runProbe(time_point now, datagrams &out);
-    void startProbe(time_point now, datagrams &out);
-    void retryProbe(datagrams &out);
-    void sendPingRequests(datagrams &out);
-    void failProbe(time_point now);
+    void runProbes(time_point now, datagrams &out);
+    void startScheduledProbe(time_point now, datagrams &out);
+    void startProbe(time_point now, const node_id &target, probe_purpose purpose, datagrams &out);
+    void retryProbe(std::uint64_t number, pending_probe &probe, datagrams &out);
+    void sendPingRequests(std::uint64_t number, pending_probe &probe, datagrams &out);
+    void failProbe(time_point now, std::uint64_t number, datagrams &out);
+    /** Probes the relays of a failed probe that were silent, which may be lost like its target, and then other members. */
+    void searchLostMembers(time_point now, const std::set<node_id> &silentRelays, datagrams &out);
+    /** Whether anything has answered this node since the last attempt, so that its own network works. */
+    bool hasAnswerSince(const pending_probe &probe) const { return m_lastAnswer >= probe.lastAttemptAt; }
+    /** Whether an additional probe of the member may start: it is neither suspected nor being probed. */
+    bool canSearch(const node_id &target) const;
+    bool isBeingProbed(const node_id &target) const;
     void expireRelayedProbes(time_point now, datagrams &out);
     void reconnect(time_point now, datagrams &out);
     std::optional<node_id> nextProbeTarget();
@@ -113,8 +140,11 @@
     void handleClaimAboutSelf(const member_update &update);
     void answerPing(const node_id &sender, const std::string &senderAddress, const gossip_message &message, datagrams &out) const;
     void relayPing(time_point now, const node_id &sender, const std::string &senderAddress, const gossip_message &message, datagrams &out);
-    void handleAck(const node_id &sender, const gossip_message &message, datagrams &out);
+    void handleAck(time_point now, const node_id &sender, const gossip_message &message, datagrams &out);
+    void handleNack(time_point now, const node_id &sender, const gossip_message &message);
     void raiseIncarnation(incarnation claimed);
+    /** The change of the health penalty by the answer to a probe. */
+    static int penaltyOfAnswer(probe_purpose purpose);
     void adjustHealthPenalty(int delta);
     member_update selfUpdate() const { return {m_self, node_id()}; }
 
@@ -125,7 +155,8 @@
     std::vector<std::string> m_seeds;
     std::vector<std::string> m_addressHints;
     std::vector<node_id> m_probeOrder; ///< Members still to be probed in this round, next one last.
-    std::optional<pending_probe> m_pendingProbe;
+    pending_probes m_pendingProbes;
+    std::deque<std::uint64_t> m_failedNumbers; ///< Numbers of the last failed probes, whose answers may still arrive.
     std::map<std::uint64_t, relayed_probe> m_relayedProbes;
     std::uint64_t m_lastProbeNumber = 0;
     std::size_t m_reconnectAttempts = 0;
@@ -134,6 +165,7 @@
     std::optional<time_point> m_lastTick;
     time_point m_nextProbe;
     time_point m_nextReconnect;
+    time_point m_lastAnswer; ///< When a member or something outside last answered a message of this node.
     std::vector<member_event> m_events;
     std::vector<probe_failure> m_failedProbes;
 };
--- a/tests/policy/gossip_network.h
+++ b/tests/policy/gossip_network.h
@@ -29,6 +29,8 @@
     void setPartitionSide(std::size_t index, int side) { m_nodes[index].side = side; }
     /** Sets the share of datagrams that are lost, from 0 to 1. */
     void setLoss(double share) { m_loss = share; }
+    /** Sets whether nodes on partition side 0 are answered by something other than a node, such as a store, all the time. */
+    void setOutsideAnswers(bool answers) { m_outsideAnswers = answers; }
 
     /** Sets a function that is called when a node learns of a peer with a newer configuration version. */
     void setNewerConfigHandler(std::function<void(gossip_engine &, const newer_config_peer &)> reaction) { m_newerConfigHandler = std::move(reaction); }
@@ -75,6 +77,7 @@
     std::mt19937_64 m_random;
     time_point m_now{std::chrono::hours(1)};
     double m_loss = 0;
+    bool m_outsideAnswers = false;
     std::multimap<time_point, std::tuple<std::size_t, std::size_t, outgoing_gossip>> m_inFlight;
     std::function<void(gossip_engine &, const newer_config_peer &)> m_newerConfigHandler;
     std::vector<member_event> m_events;
--- a/tests/policy/test_gossip_engine.cpp
+++ b/tests/policy/test_gossip_engine.cpp
@@ -28,6 +28,23 @@
 
 constexpr std::size_t MAX_PAYLOAD_BYTES = 1000;
 
+struct mass_loss_case
+{
+    std::size_t size;
+    std::size_t survivors;
+    bool outsideAnswers; ///< Something other than the nodes, such as a store, answers the survivors all the time.
+};
+
+std::ostream &operator<<(std::ostream &out, const mass_loss_case &row)
+{
+    return out << row.survivors << " of " << row.size << " nodes are left" << (row.outsideAnswers ? ", with a store" : "");
+}
+
+const mass_loss_case MASS_LOSS_CASES[] = {
+    {7, 2, false}, {7, 3, false}, {7, 4, false}, {28, 14, false}, {78, 39, false}, {7, 1, true}, {28, 1, true}, {78, 4, true}, {100, 2, true}};
+/** The time after which the directory must not name lost nodes any more: the stability window of 4 s and 3 s. */
+constexpr duration MAX_LOSS_NOTICE = seconds(7);
+
 fact testFact(const std::string &key, const std::string &payload)
 {
     fact item;
@@ -80,6 +97,59 @@
     BOOST_TEST(network.runUntil(seconds(15), [&] { return network.converged(); }).has_value());
 }
 
+// Guards against survivors that take most of their peers for alive, and so name them to callers, long after these were lost at the same moment.
+BOOST_DATA_TEST_CASE(lossOfManyNodesIsNoticedInTime, MASS_LOSS_CASES)
+{
+    for (std::uint64_t seed = 21; seed < 31; ++seed) {
+        BOOST_TEST_CONTEXT("seed " << seed)
+        {
+            gossip_network network = convergedNetwork(sample.size, 0.0, seed);
+            network.setOutsideAnswers(sample.outsideAnswers);
+            for (std::size_t i = sample.survivors; i < sample.size; ++i) {
+                network.stop(i);
+            }
+            const auto takesLostForAlive = [&] {
+                for (std::size_t i = 0; i < sample.survivors; ++i) {
+                    for (std::size_t k = sample.survivors; k < sample.size; ++k) {
+                        const member *lost = network.engine(i).nodes().others().find(gossip_network::idOf(k));
+                        if (lost && lost->state == member_state::alive) {
+                            return true;
+                        }
+                    }
+                }
+                return false;
+            };
+            const auto noticed = network.runUntil(minutes(5), [&] { return !takesLostForAlive(); });
+            BOOST_REQUIRE(noticed.has_value());
+            BOOST_TEST(std::chrono::duration<double>(*noticed).count() <= std::chrono::duration<double>(MAX_LOSS_NOTICE).count());
+        }
+    }
+}
+
+// Guards against a node that takes its own loss of the network for the loss of its peers, and tells them so once it is back.
+BOOST_DATA_TEST_CASE(cutOffNodeSuspectsFewPeers, NETWORK_CASES)
+{
+    constexpr std::size_t CUT_OFF_NODE = 2;
+    constexpr std::size_t MAX_SUSPECTED = 10;
+    constexpr std::size_t MAX_MEAN_SUSPECTED = 3;
+    constexpr std::uint64_t SEEDS = 20;
+    std::size_t sum = 0;
+    for (std::uint64_t seed = 32; seed < 32 + SEEDS; ++seed) {
+        gossip_network network = convergedNetwork(sample.size, sample.loss, seed);
+        network.setOutsideAnswers(true);
+        network.run(seconds(2));
+        network.setPartitionSide(CUT_OFF_NODE, 1);
+        network.run(seconds(10));
+        const std::vector<member> known = network.engine(CUT_OFF_NODE).nodes().others().all();
+        const auto suspected = std::count_if(known.begin(), known.end(), [](const member &peer) { return peer.state != member_state::alive; });
+        BOOST_TEST(static_cast<std::size_t>(suspected) <= MAX_SUSPECTED);
+        sum += static_cast<std::size_t>(suspected);
+        network.setPartitionSide(CUT_OFF_NODE, 0);
+        BOOST_TEST(network.runUntil(minutes(1), [&] { return network.converged(); }).has_value());
+    }
+    BOOST_TEST(sum <= MAX_MEAN_SUSPECTED * SEEDS);
+}
+
 // Guards against a process that is declared dead for a pause of 3 s, and against one that stays dead, or declares others dead, after a longer pause.
 BOOST_DATA_TEST_CASE(resumedNodeRefutesSuspicion, NETWORK_CASES)
 {
--- a/tier/peer_membership.cpp
+++ b/tier/peer_membership.cpp
@@ -209,6 +209,9 @@
 void peer_membership::tick()
 {
     const time_point at = now();
+    if (m_lastOutsideAnswerAt) {
+        m_engine.nodes().noteOutsideAnswer(m_lastOutsideAnswerAt());
+    }
     send(m_engine.tick(at));
     handleEvents();
     for (const node_id &id : m_engine.nodes().others().live()) {
--- a/tier/peer_membership.h
+++ b/tier/peer_membership.h
@@ -54,6 +54,9 @@
     /** Sets the handler that is called with each new fact of a peer. */
     void onFact(std::function<void(const fact &)> handler) { m_onFact = std::move(handler); }
 
+    /** Sets a function that returns when the store or a backend server last answered this node; see membership::noteOutsideAnswer(). */
+    void setOutsideAnswers(std::function<time_point()> lastAnswerAt) { m_lastOutsideAnswerAt = std::move(lastAnswerAt); }
+
     /** Other nodes that accept callers and are alive by the membership protocol. */
     std::vector<entry_node_candidate> entryNodes() const;
     /** Nodes that are suspected or were declared dead a short time ago: they may still run on the other side of a network partition. */
@@ -85,6 +88,7 @@
     std::mt19937_64 m_random;
     std::map<node_id, time_point> m_lastLive; ///< When each node was last live; recent ones only.
     std::function<void(const fact &)> m_onFact;
+    std::function<time_point()> m_lastOutsideAnswerAt;
     std::map<message_kind, std::function<void(const node_id &, const std::string &)>> m_onMessage;
     std::array<char, envelope_codec::MAX_DATAGRAM_BYTES + 1> m_buffer{};
     boost::asio::ip::udp::endpoint m_sender;
--- a/tier/tier_process.cpp
+++ b/tier/tier_process.cpp
@@ -162,6 +162,7 @@
             m_peers.sendToRandom(READ_FANOUT, message_kind::fresh_read, read);
         }
     });
+    m_peers.setOutsideAnswers([this] { return std::chrono::time_point_cast<duration>(std::max(m_client.lastAnswerAt(), m_store.lastAnswerAt())); });
     m_peers.onFact([this](const fact &peerFact) { handlePeerFact(peerFact); });
     m_moveDriver.setPeers({[this](fact ownFact) { m_peers.publish(std::move(ownFact)); },
                            [this](fact_kind kind) { return m_peers.facts(kind); },
