--- a/tests/platform/test_caller_messages.cpp
+++ b/tests/platform/test_caller_messages.cpp
@@ -1,5 +1,8 @@
+#include <ostream>
+
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include "platform/caller_messages.h"
 #include "platform/directory_messages.h"
@@ -190,11 +193,39 @@
     BOOST_TEST(answer.body() == "records");
 }
 
-// Guards against a process that signatures too long for one header field end.
-BOOST_AUTO_TEST_CASE(queryAnswersWithTooLongSignaturesFail)
+struct signature_case
+{
+    std::size_t parts;
+    std::size_t bytes; ///< Of the signature of each part.
+    std::size_t fields; ///< Header fields in the answer.
+};
+
+std::ostream &operator<<(std::ostream &out, const signature_case &row)
 {
-    const std::vector<std::string> signatures(20, std::string(3400, 's'));
-    BOOST_TEST(queryAnswer(request_id("r1"), signatures, 0, "records").result_int() == 502U);
+    return out << row.parts << " signatures of " << row.bytes << " bytes";
+}
+
+const signature_case SIGNATURE_CASES[] = {{2, 30, 1}, {20, 3400, 2}, {90, 3400, 5}, {2, 65500, 2}};
+
+// Guards against a process that signatures too long for one header field end, and against an answer that fails or loses signatures because of their length.
+BOOST_DATA_TEST_CASE(queryAnswersNameAllSignatures, boost::unit_test::data::make(SIGNATURE_CASES), row)
+{
+    std::vector<std::string> signatures;
+    for (std::size_t part = 0; part < row.parts; ++part) {
+        signatures.push_back(std::to_string(part) + "." + std::string(row.bytes - std::to_string(part).size() - 1, 's'));
+    }
+    const http_response_message answer = queryAnswer(request_id("r1"), signatures, 1, "records");
+    BOOST_TEST(answer.result_int() == 200U);
+    std::string joined;
+    std::size_t fields = 0;
+    for (const auto &field : answer) {
+        if (field.name_string() == "Part-Stamps") {
+            joined += (joined.empty() ? "" : ", ") + std::string(field.value());
+            ++fields;
+        }
+    }
+    BOOST_TEST(fields == row.fields);
+    BOOST_TEST((joined == fmt::format("{}", fmt::join(signatures, ", "))));
 }
 
 BOOST_AUTO_TEST_CASE(refusalsCarryRetryAfter)
