Refuse successes without an id on connections whose server sends ids

Cause: an answer that names no request was taken for the expected one, on kept connections too, so that a repeated answer without its id reached the next caller.

Change: a success without an id on a connection on which the server has sent an id before is malformed, and the connection is closed. The call compares responses by response_match in place of yes or no. Servers that never send ids are served as before.

--- a/http/client_call.h
+++ b/http/client_call.h
@@ -9,6 +9,7 @@
 
 #include "http/async_http_types.h"
 #include "http/connection_id.h"
+#include "http/response_match.h"
 
 namespace snipefall {
 
@@ -25,8 +26,8 @@
     /** Idle connections that are not reused: a late response to a call that they carried could not be told from the response to this one. */
     std::vector<connection_id> avoidedConnections;
     std::chrono::steady_clock::time_point deadline; ///< A call without a response at this time ends as timed_out, or as not_sent while it is still connecting.
-    /** Returns whether a response matches this request; a response that doesn't is discarded. An empty function accepts every response. */
-    std::function<bool(const http_response_message &)> acceptsResponse;
+    /** Compares a response with this call; a response to another call is discarded. With an empty function every response belongs to this call. */
+    std::function<response_match(const http_response_message &)> matchResponse;
 };
 
 /** How a call ended. */
--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -30,6 +30,7 @@
 constexpr unsigned MAX_INTERIM_RESPONSES = 16;
 /** The same holds for responses to earlier requests; a connection carries one request at a time, so that more than a few belong to none. */
 constexpr unsigned MAX_LATE_RESPONSES = 16;
+constexpr unsigned FIRST_ERROR_STATUS = 400;
 /** A longer rest of a response that nobody waits for is not read; a new connection costs less. */
 constexpr std::size_t MAX_DISCARDED_BYTES = 65536;
 
@@ -225,7 +226,8 @@
                 ++m_interimResponses;
                 continue;
             }
-            if (m_call.acceptsResponse && !m_call.acceptsResponse(response)) {
+            const response_match match = matchResponse(response);
+            if (match == response_match::other_call) {
                 // This is a late response to an earlier request; the response to the current one may follow.
                 if (++m_lateResponses > MAX_LATE_RESPONSES) {
                     finish(client_result::kind::malformed, false);
@@ -233,6 +235,11 @@
                 }
                 continue;
             }
+            if (isDubious(response, match)) {
+                finish(client_result::kind::malformed, false);
+                return;
+            }
+            m_hasIdentifiedResponse = m_hasIdentifiedResponse || (m_call.matchResponse && match == response_match::this_call);
             m_result.response = std::move(response);
             // A server may respond before it has read the whole request. The connection isn't reused then, because the next request would follow the unsent
             // rest.
@@ -252,7 +259,17 @@
         return false;
     }
     const bool isLong = restOfBody(m_parser).value_or(growth_turns::UNKNOWN_BYTES) > MAX_DISCARDED_BYTES;
-    return isLong && (!m_call.acceptsResponse || m_call.acceptsResponse(m_parser->get()));
+    return isLong && matchResponse(m_parser->get()) != response_match::other_call;
+}
+
+response_match client_connection::matchResponse(const http_response_message &response) const
+{
+    return m_call.matchResponse ? m_call.matchResponse(response) : response_match::this_call;
+}
+
+bool client_connection::isDubious(const http_response_message &response, response_match match) const
+{
+    return match == response_match::unidentified && m_hasIdentifiedResponse && response.result_int() < FIRST_ERROR_STATUS;
 }
 
 void client_connection::discardBody()
@@ -286,7 +303,9 @@
     if (atEndOfStream && m_parser && m_parser->is_header_done() && m_parser->need_eof()) {
         boost::system::error_code error;
         m_parser->put_eof(error);
-        if (!error && m_parser->is_done() && (!m_call.acceptsResponse || m_call.acceptsResponse(m_parser->get()))) {
+        const bool isComplete = !error && m_parser->is_done();
+        const response_match match = isComplete ? matchResponse(m_parser->get()) : response_match::other_call;
+        if (match != response_match::other_call && !isDubious(m_parser->get(), match)) {
             m_result.response = m_parser->release();
             finish(client_result::kind::answered, false);
             return;
--- a/http/client_connection.h
+++ b/http/client_connection.h
@@ -54,6 +54,10 @@
     void parse();
     /** Whether a response with this status may follow: the final one, or a limited number of interim ones. */
     bool acceptsStatus(unsigned status) const;
+    /** Compares a response with the running call. */
+    response_match matchResponse(const http_response_message &response) const;
+    /** Whether the response is one without an identification although the server has identified earlier ones, so that it may belong to any call. */
+    bool isDubious(const http_response_message &response, response_match match) const;
     /** Whether the response to the running call has begun and much of its body, or an unknown number of bytes, is still to come. */
     bool hasLongRest() const;
     void handleDisconnect(bool atEndOfStream);
@@ -83,6 +87,7 @@
     bool m_discardsBody = false;
     bool m_writing = false;
     bool m_hasServedCall = false; ///< A call was answered on this connection before.
+    bool m_hasIdentifiedResponse = false; ///< The server has sent a response that names its call.
     bool m_closed = false;
 };
 
--- a/tests/http/test_async_http_client.cpp
+++ b/tests/http/test_async_http_client.cpp
@@ -67,7 +67,12 @@
         request.newConnection = newConnection;
         request.avoidedConnections = std::move(avoided);
         request.deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(300);
-        request.acceptsResponse = [](const http_response_message &answer) { return answer["Request-Id"].empty() || answer["Request-Id"] == "r"; };
+        request.matchResponse = [](const http_response_message &answer) {
+            if (answer["Request-Id"].empty()) {
+                return response_match::unidentified;
+            }
+            return answer["Request-Id"] == "r" ? response_match::this_call : response_match::other_call;
+        };
         return client.start(std::move(request), [&result](client_result ended) { result = std::move(ended); });
     }
 
@@ -107,6 +112,48 @@
     BOOST_TEST(server.requests() == 2U);
 }
 
+const std::string UNIDENTIFIED_RESPONSE = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
+const std::string UNIDENTIFIED_REFUSAL = "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
+
+struct unidentified_case
+{
+    const char *name;
+    std::string first; ///< Response to the first call on the connection.
+    std::string second;
+    kind outcome; ///< Of the second call.
+    const char *body;
+};
+
+std::ostream &operator<<(std::ostream &out, const unidentified_case &row)
+{
+    return out << row.name;
+}
+
+const unidentified_case UNIDENTIFIED_CASES[] = {
+    {"an extra success before the response", OK_RESPONSE, UNIDENTIFIED_RESPONSE + OK_RESPONSE, kind::malformed, ""},
+    {"only a success", OK_RESPONSE, UNIDENTIFIED_RESPONSE, kind::malformed, ""},
+    {"a refusal", OK_RESPONSE, UNIDENTIFIED_REFUSAL, kind::answered, ""},
+    {"a server that never identifies responses", UNIDENTIFIED_RESPONSE, UNIDENTIFIED_RESPONSE, kind::answered, "other"},
+};
+
+// Guards against a repeated response without its id that is taken for the response to the next call on the connection.
+BOOST_DATA_TEST_CASE(unidentifiedSuccessIsNoResponseAfterIdentifiedOnes, boost::unit_test::data::make(UNIDENTIFIED_CASES), row)
+{
+    scripted_server server({{row.first, end::keep}, {row.second, end::keep}, {OK_RESPONSE, end::keep}});
+    {
+        client_fixture fixture;
+        BOOST_TEST((fixture.call(server.address()).outcome == kind::answered));
+        const client_result second = fixture.call(server.address());
+        BOOST_TEST(second.reused);
+        BOOST_TEST((second.outcome == row.outcome));
+        BOOST_TEST(second.response.body() == row.body);
+        const client_result third = fixture.call(server.address());
+        BOOST_TEST((third.outcome == kind::answered));
+        BOOST_TEST(third.response.body() == "ok");
+        BOOST_TEST(third.reused == (row.outcome == kind::answered));
+    }
+}
+
 struct endless_case
 {
     const char *name;
--- a/tests/platform/test_caller_messages.cpp
+++ b/tests/platform/test_caller_messages.cpp
@@ -178,10 +178,10 @@
 BOOST_AUTO_TEST_CASE(answersAreMatchedToTheirRequest)
 {
     http_response_message answer;
-    BOOST_TEST(isAnswerTo(answer, request_id("r1")));
+    BOOST_TEST((matchAnswer(answer, request_id("r1")) == response_match::unidentified));
     answer.set("Request-Id", "r2");
-    BOOST_TEST(!isAnswerTo(answer, request_id("r1")));
-    BOOST_TEST(isAnswerTo(answer, request_id("r2")));
+    BOOST_TEST((matchAnswer(answer, request_id("r1")) == response_match::other_call));
+    BOOST_TEST((matchAnswer(answer, request_id("r2")) == response_match::this_call));
 }
 
 BOOST_AUTO_TEST_CASE(queryAnswersStateMissingParts)
--- a/tier/request_runner.cpp
+++ b/tier/request_runner.cpp
@@ -159,13 +159,13 @@
     call.avoidedConnections = m_usedConnections;
     call.deadline = m_times.deadline;
     // A late answer to an earlier request is not accepted, but what the server states in it holds all the same.
-    call.acceptsResponse = [&board = m_dependencies.board, server = planned.server.id, id = m_request.id, at](const http_response_message &answer) {
-        const bool accepted = isAnswerTo(answer, id);
-        if (!accepted) {
+    call.matchResponse = [&board = m_dependencies.board, server = planned.server.id, id = m_request.id, at](const http_response_message &answer) {
+        const response_match match = matchAnswer(answer, id);
+        if (match == response_match::other_call) {
             logLateAnswer(id, server, answer);
         }
-        noteServerAnnouncement(board, server, answer, accepted ? at : time_point());
-        return accepted;
+        noteServerAnnouncement(board, server, answer, match == response_match::other_call ? time_point() : at);
+        return match;
     };
     if (m_mode == request_execution::run_mode::trial) {
         const backend_entry *sibling = m_dependencies.board.servers.sibling(planned.server.id, at);
