--- a/http/async_http_client.cpp
+++ b/http/async_http_client.cpp
@@ -103,7 +103,7 @@
         if (isAvoided(*idle[i])) {
             continue;
         }
-        const std::shared_ptr<client_connection> connection = idle[i];
+        std::shared_ptr<client_connection> connection = idle[i];
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
         if (now < connection->reusableUntil() && connection->hasNoUnreadInput()) {
             return connection;
