Keep a node that lost only its peers from having them declared dead

Found by a simulation of the search for lost peers: a node that loses its peers and not the store takes its network for sound and suspects all of them.

Change: a node that hears from no member for 2 s passes on no claims about others. When a member that it took for lost turns out to have run on, it takes back what it has found since it last heard from a member. A member that was started again proves nothing of the kind.

--- a/policy/member_list.cpp
+++ b/policy/member_list.cpp
@@ -209,6 +209,26 @@
     }
 }
 
+void member_list::withdrawClaimsSince(time_point now, time_point since)
+{
+    for (auto &[id, known] : m_records) {
+        const member_state state = known.data.state;
+        if (known.stateChangedAt < since || (state != member_state::suspect && state != member_state::dead)) {
+            continue;
+        }
+        known.data.state = member_state::alive;
+        known.accuser = node_id();
+        known.activeSuspicion.reset();
+        known.stateChangedAt = now;
+        m_suspects.erase(id);
+        if (state == member_state::dead) {
+            addLive(known);
+        }
+        emit(state == member_state::dead ? member_event_kind::joined : member_event_kind::refuted, known.data);
+    }
+    m_broadcasts = broadcast_queue();
+}
+
 const member *member_list::find(const node_id &id) const
 {
     const auto found = m_records.find(id);
--- a/policy/member_list.h
+++ b/policy/member_list.h
@@ -46,6 +46,9 @@
     /** Extends all suspicions by the time during which this process was paused. */
     void extendSuspicions(duration pause);
 
+    /** Takes members that became suspect or dead at @p since or later for alive again, and drops all pending broadcasts. */
+    void withdrawClaimsSince(time_point now, time_point since);
+
     /** The member's record, or null. */
     const member *find(const node_id &id) const;
     /** The current claim about a known member. */
--- a/policy/membership.cpp
+++ b/policy/membership.cpp
@@ -30,6 +30,8 @@
 /** Limits the traffic of a node that searches for lost members; a probe without an answer takes some 2 KB. */
 constexpr std::size_t MAX_PENDING_PROBES = 64;
 constexpr std::size_t MAX_FAILED_NUMBERS = 64;
+/** A node in contact with others hears from one of them about once a second. */
+constexpr duration SILENCE_TIMEOUT = std::chrono::seconds(2);
 /** Number of additional probes that a failed one starts while silent relays suggest that many members are lost. */
 constexpr std::size_t SEARCH_FANOUT = 3;
 
@@ -248,6 +250,22 @@
     return std::any_of(m_pendingProbes.begin(), m_pendingProbes.end(), [&](const auto &item) { return item.second.target == target; });
 }
 
+bool membership::wasWronglyLost(const node_id &sender, const gossip_message &message) const
+{
+    const member *known = m_list.find(sender);
+    if (!known || (known->state != member_state::suspect && known->state != member_state::dead)) {
+        return false;
+    }
+    return std::none_of(message.updates.begin(), message.updates.end(), [&](const member_update &update) {
+        return update.subject.id == sender && update.subject.firstStarted() != known->firstStarted();
+    });
+}
+
+bool membership::hearsNobody(time_point now) const
+{
+    return now - m_lastHeard >= SILENCE_TIMEOUT;
+}
+
 void membership::expireRelayedProbes(time_point now, datagrams &out)
 {
     for (auto &[number, relayed] : m_relayedProbes) {
@@ -293,6 +311,12 @@
 std::vector<outgoing_gossip> membership::receive(time_point now, const node_id &sender, const std::string &senderAddress, const gossip_message &message)
 {
     datagrams out;
+    if (hearsNobody(now) && wasWronglyLost(sender, message)) {
+        // A member that this node took for lost lives, so this node was cut off, and what it found since tells nothing of the others either.
+        m_list.withdrawClaimsSince(now, m_lastHeard);
+        m_pendingProbes.clear();
+    }
+    m_lastHeard = now;
     const auto source = message.type == gossip_type::sync ? member_list::claim_source::sync : member_list::claim_source::broadcasts;
     for (const member_update &update : message.updates) {
         if (update.subject.id == m_self.id) {
@@ -458,6 +482,10 @@
     if (m_selfSendsLeft > 0 && append(selfUpdate())) {
         --m_selfSendsLeft;
     }
+    // Claims of a node that may be cut off would make its peers take each other for lost once it is back.
+    if (m_lastTick && hearsNobody(*m_lastTick)) {
+        return used;
+    }
     const int backlogFactor = static_cast<int>(1 + m_list.broadcasts().size() / FULL_SEND_BACKLOG);
     m_list.broadcasts().collect(std::max(MIN_SENDS, sendLimit() / backlogFactor), [&](const std::string &key) { return append(*m_list.claim(node_id(key))); });
     return used;
--- a/policy/membership.h
+++ b/policy/membership.h
@@ -130,6 +130,10 @@
     void searchLostMembers(time_point now, const std::set<node_id> &silentRelays, datagrams &out);
     /** Whether anything has answered this node since the last attempt, so that its own network works. */
     bool hasAnswerSince(const pending_probe &probe) const { return m_lastAnswer >= probe.lastAttemptAt; }
+    /** Whether this node took the sender for lost although its process has run on, and was not started again. */
+    bool wasWronglyLost(const node_id &sender, const gossip_message &message) const;
+    /** Whether no member has sent a message for so long that this node may be cut off from all of them. */
+    bool hearsNobody(time_point now) const;
     /** Whether an additional probe of the member may start: it is neither suspected nor being probed. */
     bool canSearch(const node_id &target) const;
     bool isBeingProbed(const node_id &target) const;
@@ -165,6 +169,7 @@
     std::optional<time_point> m_lastTick;
     time_point m_nextProbe;
     time_point m_nextReconnect;
+    time_point m_lastHeard; ///< When a member last sent a message to this node.
     time_point m_lastAnswer; ///< When a member or something outside last answered a message of this node.
     std::vector<member_event> m_events;
     std::vector<probe_failure> m_failedProbes;
--- a/tests/policy/gossip_network.cpp
+++ b/tests/policy/gossip_network.cpp
@@ -67,7 +67,7 @@
         }
         for (std::size_t i = 0; i < m_nodes.size(); ++i) {
             if (runs(i)) {
-                if (m_outsideAnswers && m_nodes[i].side == 0) {
+                if (m_outsideAnswers && m_nodes[i].side <= m_lastAnsweredSide) {
                     engine(i).nodes().noteOutsideAnswer(m_now);
                 }
                 send(i, engine(i).tick(m_now));
--- a/tests/policy/gossip_network.h
+++ b/tests/policy/gossip_network.h
@@ -29,8 +29,12 @@
     void setPartitionSide(std::size_t index, int side) { m_nodes[index].side = side; }
     /** Sets the share of datagrams that are lost, from 0 to 1. */
     void setLoss(double share) { m_loss = share; }
-    /** Sets whether nodes on partition side 0 are answered by something other than a node, such as a store, all the time. */
-    void setOutsideAnswers(bool answers) { m_outsideAnswers = answers; }
+    /** Sets whether something other than a node, such as a store, answers all nodes on partition sides up to @p lastSide all the time. */
+    void setOutsideAnswers(bool answers, int lastSide = 0)
+    {
+        m_outsideAnswers = answers;
+        m_lastAnsweredSide = lastSide;
+    }
 
     /** Sets a function that is called when a node learns of a peer with a newer configuration version. */
     void setNewerConfigHandler(std::function<void(gossip_engine &, const newer_config_peer &)> reaction) { m_newerConfigHandler = std::move(reaction); }
@@ -78,6 +82,7 @@
     time_point m_now{std::chrono::hours(1)};
     double m_loss = 0;
     bool m_outsideAnswers = false;
+    int m_lastAnsweredSide = 0;
     std::multimap<time_point, std::tuple<std::size_t, std::size_t, outgoing_gossip>> m_inFlight;
     std::function<void(gossip_engine &, const newer_config_peer &)> m_newerConfigHandler;
     std::vector<member_event> m_events;
--- a/tests/policy/test_gossip_engine.cpp
+++ b/tests/policy/test_gossip_engine.cpp
@@ -150,6 +150,32 @@
     BOOST_TEST(sum <= MAX_MEAN_SUSPECTED * SEEDS);
 }
 
+// Guards against a node that loses only its peers, and not the store, and has them declared dead by each other once it is back.
+BOOST_DATA_TEST_CASE(returningNodeHasNoPeerDeclaredDead, NETWORK_CASES)
+{
+    constexpr std::size_t CUT_OFF_NODE = 2;
+    for (const int cutSeconds : {5, 10, 20}) {
+        gossip_network network = convergedNetwork(sample.size, sample.loss, 52);
+        network.setOutsideAnswers(true, 1);
+        network.setPartitionSide(CUT_OFF_NODE, 1);
+        network.run(seconds(cutSeconds));
+        network.setPartitionSide(CUT_OFF_NODE, 0);
+        const auto hasDeadPeer = [&] {
+            for (std::size_t i = 0; i < sample.size; ++i) {
+                for (std::size_t k = 0; k < sample.size; ++k) {
+                    const bool counts = i != k && i != CUT_OFF_NODE && k != CUT_OFF_NODE;
+                    if (counts && network.engine(i).nodes().others().find(gossip_network::idOf(k))->state == member_state::dead) {
+                        return true;
+                    }
+                }
+            }
+            return false;
+        };
+        BOOST_TEST(!network.runUntil(seconds(15), hasDeadPeer).has_value());
+        BOOST_TEST(network.runUntil(minutes(1), [&] { return network.converged(); }).has_value());
+    }
+}
+
 // Guards against a process that is declared dead for a pause of 3 s, and against one that stays dead, or declares others dead, after a longer pause.
 BOOST_DATA_TEST_CASE(resumedNodeRefutesSuspicion, NETWORK_CASES)
 {
