Name two conditions that the change wrote twice, and repeat answers only when asked

Found on reading the change again; no behaviour changes. isPresumedLost() stands beside isLive(), and isErrorStatus() beside isFinalStatus(), in place of two copies each. The proxy of the tests keeps the last answer only while it has to repeat it, not for every connection.

--- a/http/client_connection.cpp
+++ b/http/client_connection.cpp
@@ -30,7 +30,6 @@
 constexpr unsigned MAX_INTERIM_RESPONSES = 16;
 /** The same holds for responses to earlier requests; a connection carries one request at a time, so that more than a few belong to none. */
 constexpr unsigned MAX_LATE_RESPONSES = 16;
-constexpr unsigned FIRST_ERROR_STATUS = 400;
 /** A longer rest of a response that nobody waits for is not read; a new connection costs less. */
 constexpr std::size_t MAX_DISCARDED_BYTES = 65536;
 
@@ -269,7 +268,7 @@
 
 bool client_connection::isDubious(const http_response_message &response, response_match match) const
 {
-    return match == response_match::unidentified && m_hasIdentifiedResponse && response.result_int() < FIRST_ERROR_STATUS;
+    return match == response_match::unidentified && m_hasIdentifiedResponse && !isErrorStatus(response.result_int());
 }
 
 void client_connection::discardBody()
--- a/http/final_status.h
+++ b/http/final_status.h
@@ -8,6 +8,12 @@
     return status >= 200 && status <= 599;
 }
 
+/** Whether a final response with this status code reports a failure of the client or the server. */
+constexpr bool isErrorStatus(unsigned status)
+{
+    return status >= 400;
+}
+
 /** Whether a final response follows after one with this status code. 101 is none of these: no request asks to switch the protocol. */
 constexpr bool isInterimStatus(unsigned status)
 {
--- a/policy/member_list.cpp
+++ b/policy/member_list.cpp
@@ -213,7 +213,7 @@
 {
     for (auto &[id, known] : m_records) {
         const member_state state = known.data.state;
-        if (known.stateChangedAt < since || (state != member_state::suspect && state != member_state::dead)) {
+        if (known.stateChangedAt < since || !isPresumedLost(state)) {
             continue;
         }
         known.data.state = member_state::alive;
--- a/policy/member_state.h
+++ b/policy/member_state.h
@@ -19,6 +19,12 @@
     return state == member_state::alive || state == member_state::suspect;
 }
 
+/** Returns true for members that did not answer, and may have been lost: suspect and dead. */
+inline bool isPresumedLost(member_state state)
+{
+    return state == member_state::suspect || state == member_state::dead;
+}
+
 inline const char *toString(member_state state)
 {
     constexpr const char *NAMES[] = {"alive", "suspect", "dead", "left"};
--- a/policy/membership.cpp
+++ b/policy/membership.cpp
@@ -253,7 +253,7 @@
 bool membership::wasWronglyLost(const node_id &sender, const gossip_message &message) const
 {
     const member *known = m_list.find(sender);
-    if (!known || (known->state != member_state::suspect && known->state != member_state::dead)) {
+    if (!known || !isPresumedLost(known->state)) {
         return false;
     }
     return std::none_of(message.updates.begin(), message.updates.end(), [&](const member_update &update) {
--- a/tests/stand_ins/loopback_proxy.cpp
+++ b/tests/stand_ins/loopback_proxy.cpp
@@ -81,7 +81,7 @@
                     return;
                 }
                 const auto forward = [=, this, self = self, &from, &to, &bytes] {
-                    if (towardsCaller) {
+                    if (m_fault == fault::repeating_answers && towardsCaller) {
                         m_lastAnswer.append(bytes.data(), count);
                     }
                     boost::asio::async_write(to,
@@ -94,15 +94,12 @@
                                                  pump(from, to, bytes, towardsCaller);
                                              });
                 };
-                if (m_fault == fault::repeating_answers && !towardsCaller && !m_lastAnswer.empty()) {
+                if (!towardsCaller && !m_lastAnswer.empty()) {
                     const auto repeated = std::make_shared<std::string>(std::exchange(m_lastAnswer, {}));
                     boost::asio::async_write(
                         m_caller, boost::asio::buffer(*repeated), [forward, repeated](const boost::system::error_code &, std::size_t) { forward(); });
                     return;
                 }
-                if (!towardsCaller) {
-                    m_lastAnswer.clear();
-                }
                 if (m_fault != fault::delayed) {
                     forward();
                     return;
@@ -118,7 +115,7 @@
     boost::asio::steady_timer m_timer;
     buffer m_toServer{};
     buffer m_toCaller{};
-    std::string m_lastAnswer; ///< What the target has sent since the last request.
+    std::string m_lastAnswer; ///< With repeating_answers, what the target has sent since the last request.
 };
 
 loopback_proxy::loopback_proxy(boost::asio::io_context &loop, std::string target)
