Review: show that a restart stops the only version of a service

The finding that a version is faulty stays in the gossip for 12 hours and names an order that is over. A machine that starts after the version was ordered again and done, and the order was removed, takes the finding from its peers and sends nothing to that version any more.

--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,7 +1,8 @@
-"""A client's request body whose Transfer-Encoding doesn't end with "chunked": what stands in the body runs as a request of its own."""
+"""A version that was rolled back, ordered again and done is stopped for good by each machine that starts afterwards."""
 
 import asyncio
 import os
+import signal
 import sys
 import time
 
@@ -11,7 +12,8 @@
 import small_platform as sp  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-CODINGS = ["gzip", "identity", "deflate", "chunked, gzip"]
+MACHINES = 3
+FINISH_BY_S = 8
 STARTED = time.monotonic()
 lines = []
 
@@ -20,61 +22,141 @@
     lines.append("%8.3f %s" % (time.monotonic() - STARTED, text))
 
 
-def document(number):
-    """A text that a caller files as a note. It holds the words of an order, which nobody sends."""
-    return ("POST /orders/new HTTP/1.1\r\nHost: pupu76.example\r\nRequest-Id: inside-%d\r\nDeadline-Ms: 5000\r\nContent-Length: 7\r\n\r\n12 burl"
-            % number).encode()
+class Server(sp.Backend):
+    """A server of one version; a bad one fails all requests."""
 
+    def __init__(self, *args, bad=False, **settings):
+        super().__init__(*args, **settings)
+        self.bad = bad
+        self.handle = self.run
 
-async def file_note(address, number, coding):
-    """Sends one request, with the document as its body, and reads until the node is done with it."""
-    body = document(number)
-    framing = "Transfer-Encoding: %s" % coding if TROUBLE else "Content-Length: %d" % len(body)
-    head = "POST /notes/file HTTP/1.1\r\nHost: pupu76.example\r\nRequest-Id: sent-%d\r\nDeadline-Ms: 1200\r\n%s\r\n\r\n" % (number, framing)
-    reader, writer = await sp.connect(address)
-    writer.write(head.encode() + body)
-    answers = []
-    try:
+    async def run(self, request_id, method, path, body, writer):
+        if not self.bad:
+            return await super().run(request_id, method, path, body, writer)
+        self.runs.append((time.monotonic(), request_id, method, path, body))
+        self.write(writer, 500, [("Request-Id", request_id), ("Server-Stamp", self.stamp(request_id, b"bad"))], b"bad")
+        await writer.drain()
+        return True
+
+
+class Traffic:
+    """Callers of both routes at all machines that take requests."""
+
+    def __init__(self, site):
+        self.site, self.number, self.outcomes, self.avoided = site, 0, [], set()
+
+    async def ask(self, node, path):
+        self.number += 1
+        headers = {"Host": "pupu76.example", "Request-Id": "r%d" % self.number, "Deadline-Ms": "1500"}
+        begun = time.monotonic()
+        try:
+            status = (await sp.call(node.addresses["front"], "GET", path, headers, timeout=3))[0]
+        except (OSError, asyncio.TimeoutError, asyncio.IncompleteReadError):
+            status = 0
+        self.outcomes.append((begun, node.name, path, status))
+
+    async def run(self, offset):
+        count = offset
         while True:
-            line, headers, _ = await asyncio.wait_for(sp.read_message(reader), 1)
-            answers.append((line, headers.get("request-id", ["-"])[0]))
-    except (asyncio.TimeoutError, asyncio.IncompleteReadError, ConnectionError):
-        pass
-    writer.close()
-    note("client sent one request, id sent-%d, %s, body of %d bytes; answers: %s" % (
-        number, framing, len(body), "; ".join("%s (id %s)" % item for item in answers) or "none"))
-    return answers
+            count += 1
+            node = self.site.nodes[count % MACHINES]
+            if node.name not in self.avoided:
+                await self.ask(node, "/recall/one" if count % 4 == 0 else "/orders/one")
+            await asyncio.sleep(0.05)
+
+    def served(self, path, since):
+        asked = [outcome for outcome in self.outcomes if outcome[0] >= since and outcome[2] == path]
+        return sum(outcome[3] == 200 for outcome in asked), len(asked)
+
+
+async def move(site, state, number):
+    """Orders the service's move to v2 and waits for the recorded end."""
+    site.store.put("rollouts", "ledger", {"service": "ledger", "target_version": "v2", "finish_by_s": FINISH_BY_S})
+    begun = time.monotonic()
+    while time.monotonic() - begun < FINISH_BY_S + 5:
+        status = site.store.objects["rollouts"]["ledger"]["status"] or {}
+        if status.get("state") in ("done", "rolled_back"):
+            note("order %d for v2: %s after %.1f s" % (number, status["state"], time.monotonic() - begun))
+            return status["state"] == state
+        await asyncio.sleep(0.1)
+    note("order %d for v2: no end" % number)
+    return False
+
+
+async def leave(site, backend):
+    site.report(backend, "draining")
+    await asyncio.sleep(4)
+    site.store.delete("servers", backend.ident)
+    backend.stop()
+    del site.backends[backend.ident]
 
 
 async def main():
     async with sp.Site() as site:
-        for index in range(2):
-            await site.add_backend(sp.Backend("ledger-%d" % index, "ledger", work=0.02))
-            await site.add_backend(sp.Backend("notes-%d" % index, "notes", work=0.02))
-        routes = [sp.route("orders", "/orders/", kind="non_idempotent", timeout=5000, target=800, service="ledger"),
-                  sp.route("notes", "/notes/", timeout=1200, target=200, service="notes")]
-        site.store.put("config", "main", sp.configuration(7, routes, ["ledger", "notes"]))
-        await site.start_nodes(2)
-        note("nodes ready")
-        answered = 0
-        for number in range(12):
-            answers = await file_note(site.nodes[number % 2].addresses["front"], number, CODINGS[number % len(CODINGS)])
-            answered += bool(answers)
-        unasked = []
-        for backend in site.backends.values():
-            for _, request_id, method, path, body in backend.runs:
-                note("%s ran %s: %s %s, body of %d bytes" % (backend.ident, request_id, method, path, len(body)))
-                if not request_id.startswith("sent-"):
-                    unasked.append(request_id)
-        note("answered %d of 12; run although no client sent them: %d (%s)" % (answered, len(unasked), ", ".join(sorted(unasked))))
-        if answered < 12:
+        old = [await site.add_backend(Server("old-%d" % n, "ledger", slots=6, work=0.01)) for n in range(3)]
+        for n in range(2):
+            await site.add_backend(Server("a-%d" % n, "archive", slots=6, work=0.01))
+        recall = sp.route("recall", "/recall/", timeout=1500, target=400, service="archive")
+        orders = sp.route("orders", "/orders/", timeout=1500, target=400, service="ledger")
+        site.store.put("config", "main", sp.configuration(7, [recall], ["archive"], max_conns=100))
+        await site.start_nodes(MACHINES)
+        site.store.put("config", "main", sp.configuration(9, [recall, orders], ["archive", "ledger"], max_conns=100))
+        await asyncio.sleep(6)
+        note("version 9 adds the route /orders/; %d machines" % MACHINES)
+        traffic = Traffic(site)
+        callers = [asyncio.create_task(traffic.run(n)) for n in range(6)]
+        if TROUBLE:
+            bad = [await site.add_backend(Server("bad-%d" % n, "ledger", slots=6, work=0.01, version="v2", bad=True)) for n in range(2)]
+            if not await move(site, "rolled_back", 1):
+                return 2
+            await asyncio.gather(*[leave(site, backend) for backend in bad])
+            site.store.delete("rollouts", "ledger")
+            note("the servers of v2 have left, the operator has removed the order")
+            await asyncio.sleep(1)
+        for n in range(3):
+            await site.add_backend(Server("new-%d" % n, "ledger", slots=6, work=0.01, version="v2"))
+        if not await move(site, "done", 2):
+            return 2
+        for backend in old:
+            site.store.delete("servers", backend.ident)
+            backend.stop()
+            del site.backends[backend.ident]
+        await asyncio.sleep(2)
+        site.store.delete("rollouts", "ledger")
+        before = time.monotonic()
+        await asyncio.sleep(3)
+        note("the order is removed; /orders/: served %d of %d" % traffic.served("/orders/one", before))
+        for node in site.nodes:
+            traffic.avoided.add(node.name)
+            node.send(signal.SIGTERM)
+            await asyncio.wait_for(node.process.wait(), 8)
+            await node.start()
+            if not await node.wait_ready():
+                raise RuntimeError("%s is not ready again" % node.name)
+            await asyncio.sleep(2)
+            traffic.avoided.discard(node.name)
+            note("%s was stopped with SIGTERM and started again" % node.name)
+        await asyncio.sleep(5)
+        steady = time.monotonic()
+        await asyncio.sleep(12)
+        for caller in callers:
+            caller.cancel()
+        later, first = traffic.served("/orders/one", steady), traffic.served("/recall/one", steady)
+        for node in site.nodes:
+            statuses = {}
+            for begun, name, path, status in traffic.outcomes:
+                if begun >= steady and name == node.name and path == "/orders/one":
+                    statuses[status] = statuses.get(status, 0) + 1
+            note("%s: /orders/ %s" % (node.name, statuses))
+        note("5 s to 17 s after the last start: the added route served %d of %d, the first route %d of %d" % (later + first))
+        if first[1] < 20 or later[1] < 20 or first[0] < first[1]:
             return 2
-        return 1 if unasked else 0
+        return 1 if later[0] / later[1] < first[0] / first[1] / 4 else 0
 
 
 if __name__ == "__main__":
     try:
-        status = asyncio.run(asyncio.wait_for(main(), 100))
+        status = asyncio.run(asyncio.wait_for(main(), 115))
     except Exception as error:  # noqa: BLE001
         note("the case could not run: %r" % error)
         status = 2
